--- /dev/null
+++ b/cmd/skylarkctl/main.go
@@ -0,0 +1,4 @@
+// Command skylarkctl is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/result/codes.go
@@ -0,0 +1,174 @@
+package result
+
+// Codes by part: 1000 general, 1100 settings, 1200 platform, 1300 requests,
+// 1400 operators' work, 1500 bundles, 1600 membership and security, 1700
+// journal and leases, 1800 workers.
+const (
+	OK       Code = 1000
+	Internal Code = 1001
+
+	SettingsUnreadable Code = 1100
+	SettingsSyntax     Code = 1101
+	SettingsUnknown    Code = 1102
+	SettingsType       Code = 1103
+	SettingsUnit       Code = 1104
+	SettingsMissing    Code = 1105
+	SettingsRange      Code = 1106
+	SettingsAddress    Code = 1107
+	SettingsDuplicate  Code = 1108
+	SettingsZone       Code = 1109
+	SettingsKeyFile    Code = 1110
+	SettingsTrailing   Code = 1111
+	SettingsConflict   Code = 1112
+
+	PlatformRefused  Code = 1200
+	PlatformUnknown  Code = 1201
+	PlatformConflict Code = 1202
+	PlatformNotFound Code = 1203
+	PlatformLimited  Code = 1204
+	PlatformBad      Code = 1205
+
+	RequestBad         Code = 1300
+	RequestTooLarge    Code = 1301
+	ServiceUnknown     Code = 1302
+	NoUpstream         Code = 1303
+	QueueFull          Code = 1304
+	TooLate            Code = 1305
+	TimedOut           Code = 1306
+	UpstreamFailed     Code = 1307
+	UpstreamBroken     Code = 1308
+	OutcomeUnknown     Code = 1309
+	KeyBusy            Code = 1310
+	KeyMismatch        Code = 1311
+	KeyStoreAway       Code = 1312
+	ShuttingDown       Code = 1313
+	CallerGone         Code = 1314
+	TenantLimited      Code = 1315
+	TenantUnknown      Code = 1316
+	KeyAnswerTooLarge  Code = 1317
+	UpstreamRefused    Code = 1318
+	NotReady           Code = 1319
+	RequestUnsupported Code = 1320
+
+	JobBad        Code = 1400
+	JobExists     Code = 1401
+	JobUnknown    Code = 1402
+	JobNeverRuns  Code = 1403
+	QuotaExceeded Code = 1404
+	JobWaits      Code = 1405
+	JobNotStored  Code = 1406
+	NotOwner      Code = 1407
+	JobCancelled  Code = 1408
+
+	BundleBad        Code = 1500
+	BundleConflict   Code = 1501
+	BundleUnsigned   Code = 1502
+	BundleSignature  Code = 1503
+	BundleStrands    Code = 1504
+	BundleUnknown    Code = 1505
+	BundleOutdated   Code = 1506
+	BundleSelfReview Code = 1507
+
+	PeerUnknown    Code = 1600
+	PeerDeployment Code = 1601
+	PeerExpired    Code = 1602
+	PeerRefused    Code = 1603
+	PeerAway       Code = 1604
+
+	Deposed       Code = 1700
+	JournalAway   Code = 1701
+	JournalBroken Code = 1702
+	LeaseLapsed   Code = 1703
+	PromiseSpent  Code = 1704
+
+	WorkerEpoch       Code = 1800
+	WorkerStamp       Code = 1801
+	WorkerIncarnation Code = 1802
+	WorkerAway        Code = 1803
+	WorkerFull        Code = 1804
+)
+
+var table = []Info{
+	{OK, "ok", 200, false, "The work was done and the answer is whole."},
+	{Internal, "internal", 500, false, "A fault inside the program; the log has the cause."},
+
+	{SettingsUnreadable, "settings-unreadable", 500, true, "The settings file cannot be read."},
+	{SettingsSyntax, "settings-syntax", 500, true, "The settings file is not valid JSON."},
+	{SettingsUnknown, "settings-unknown-field", 500, true, "The settings hold a field that is not known."},
+	{SettingsType, "settings-type", 500, true, "A settings field has a value of the wrong type."},
+	{SettingsUnit, "settings-unit", 500, true, "A duration or size has no unit or a wrong one."},
+	{SettingsMissing, "settings-missing", 500, true, "A required settings field is missing or empty."},
+	{SettingsRange, "settings-range", 500, true, "A settings value lies outside its allowed range."},
+	{SettingsAddress, "settings-address", 500, true, "An address is not an IP number with a port."},
+	{SettingsDuplicate, "settings-duplicate", 500, true, "An address or name is used twice."},
+	{SettingsZone, "settings-zone", 500, true, "The availability zone is missing or not among the known ones."},
+	{SettingsKeyFile, "settings-key-file", 500, true, "A key or certificate file cannot be read or does not match."},
+	{SettingsTrailing, "settings-trailing", 500, true, "Data follows the settings object."},
+	{SettingsConflict, "settings-conflict", 500, true, "Two settings contradict each other."},
+
+	{PlatformRefused, "platform-refused", 503, true, "The platform refused the call before it took effect."},
+	{PlatformUnknown, "platform-unknown", 503, false, "The platform's answer was lost; the call may have taken effect."},
+	{PlatformConflict, "platform-conflict", 409, true, "A condition of a table write did not hold; nothing was written."},
+	{PlatformNotFound, "platform-not-found", 404, true, "The row or object does not exist."},
+	{PlatformLimited, "platform-limited", 503, true, "The platform's rate limit was reached; nothing was written."},
+	{PlatformBad, "platform-bad-call", 400, true, "The platform rejected the call as malformed."},
+
+	{RequestBad, "request-bad", 400, true, "A header, path or body of the request is not valid."},
+	{RequestTooLarge, "request-too-large", 413, true, "The body or the headers are over their limit."},
+	{ServiceUnknown, "service-unknown", 404, true, "No service of that name is configured."},
+	{NoUpstream, "no-upstream", 503, true, "No upstream can take the request now."},
+	{QueueFull, "queue-full", 503, true, "The queue of the tenant and class is full."},
+	{TooLate, "too-late", 503, true, "The request cannot be answered within its deadline."},
+	{TimedOut, "timed-out", 504, false, "The deadline passed while an upstream held the request."},
+	{UpstreamFailed, "upstream-failed", 502, false, "The upstream failed after the request was sent."},
+	{UpstreamBroken, "upstream-broken", 502, false, "The upstream's answer broke off before its end."},
+	{OutcomeUnknown, "outcome-unknown", 502, false, "The request was sent and whether it ran is not known; it is not sent again."},
+	{KeyBusy, "key-busy", 409, false, "A request with the same idempotency key is still running."},
+	{KeyMismatch, "key-mismatch", 422, true, "The idempotency key was used with another request."},
+	{KeyStoreAway, "key-store-away", 503, true, "The idempotency key cannot be recorded now."},
+	{ShuttingDown, "shutting-down", 503, true, "The instance is shutting down."},
+	{CallerGone, "caller-gone", 499, false, "The caller closed the connection before the answer."},
+	{TenantLimited, "tenant-limited", 429, true, "The tenant is over its share and others are waiting."},
+	{TenantUnknown, "tenant-unknown", 403, true, "The tenant is not in the bundle in force."},
+	{KeyAnswerTooLarge, "key-answer-too-large", 409, false, "The keyed request ran; its answer was too large to keep."},
+	{UpstreamRefused, "upstream-refused", 503, true, "The upstream proved that it did not run the request."},
+	{NotReady, "not-ready", 503, true, "The instance has no configuration in force yet."},
+	{RequestUnsupported, "request-unsupported", 501, true, "The request uses a feature that the entry does not carry."},
+
+	{JobBad, "job-bad", 400, true, "The job's description is not valid."},
+	{JobExists, "job-exists", 409, true, "A different job with that id exists."},
+	{JobUnknown, "job-unknown", 404, true, "No job with that id exists."},
+	{JobNeverRuns, "job-never-runs", 422, true, "No worker could ever hold a task of the job."},
+	{QuotaExceeded, "quota-exceeded", 429, true, "The tenant's quota does not hold the job."},
+	{JobWaits, "job-waits", 200, true, "The task waits for a worker."},
+	{JobNotStored, "job-not-stored", 503, false, "Whether the job was stored is not known; ask again with the same id."},
+	{NotOwner, "not-owner", 503, true, "The instance does not own the shard."},
+	{JobCancelled, "job-cancelled", 409, false, "The job was cancelled."},
+
+	{BundleBad, "bundle-bad", 400, true, "The bundle is not valid; every reason is listed."},
+	{BundleConflict, "bundle-conflict", 409, true, "Another bundle was accepted first."},
+	{BundleUnsigned, "bundle-unsigned", 403, true, "The bundle lacks sign-offs."},
+	{BundleSignature, "bundle-signature", 403, true, "A signature does not verify."},
+	{BundleStrands, "bundle-strands", 409, true, "The bundle would strand running work."},
+	{BundleUnknown, "bundle-unknown", 404, true, "No bundle with that hash or version exists."},
+	{BundleOutdated, "bundle-outdated", 409, true, "The bundle's base version is not the version in force."},
+	{BundleSelfReview, "bundle-self-review", 403, true, "The author cannot sign off the bundle."},
+
+	{PeerUnknown, "peer-unknown", 404, true, "No live peer has that id."},
+	{PeerDeployment, "peer-deployment", 403, true, "The peer belongs to another deployment."},
+	{PeerExpired, "peer-expired", 403, true, "The peer's certificate is expired or not yet valid."},
+	{PeerRefused, "peer-refused", 403, true, "The peer's certificate is not signed by a known authority."},
+	{PeerAway, "peer-away", 503, false, "The peer does not answer."},
+
+	{Deposed, "deposed", 503, true, "Another instance owns the shard or key range."},
+	{JournalAway, "journal-away", 503, true, "The decision cannot be recorded now."},
+	{JournalBroken, "journal-broken", 500, false, "The journal holds a row that cannot be read."},
+	{LeaseLapsed, "lease-lapsed", 409, true, "The lease has lapsed."},
+	{PromiseSpent, "promise-spent", 503, true, "The lease promise in the journal is spent."},
+
+	{WorkerEpoch, "worker-epoch", 409, true, "The worker has seen a higher epoch."},
+	{WorkerStamp, "worker-stamp", 409, true, "The grant is older than the worker's clock allows."},
+	{WorkerIncarnation, "worker-incarnation", 409, true, "The worker restarted since the decision."},
+	{WorkerAway, "worker-away", 503, false, "The worker does not answer."},
+	{WorkerFull, "worker-full", 409, true, "The worker has no room for the run."},
+}
--- /dev/null
+++ b/internal/result/result.go
@@ -0,0 +1,97 @@
+// Package result holds the numbered result codes that callers, operators and
+// logs see. A number never changes its meaning; docs/RESULTS.md lists them.
+package result
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Code is a numbered result. Zero is no code.
+type Code int
+
+// Info describes a code.
+type Info struct {
+	Code   Code
+	Name   string // stable identifier
+	Status int    // HTTP status
+	// NotRun is true when the code by itself proves that the work was not
+	// run. Where it is false the answer may still carry a proof of its own.
+	NotRun  bool
+	Meaning string // one sentence
+}
+
+// Error is an error that carries a code.
+type Error struct {
+	Code   Code
+	Detail string
+	Cause  error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	s := fmt.Sprintf("%d %s", e.Code, e.Code.Info().Name)
+	if e.Detail != "" {
+		s += ": " + e.Detail
+	}
+	if e.Cause != nil {
+		s += ": " + e.Cause.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Errorf returns an error with code c and a formatted detail.
+func Errorf(c Code, format string, args ...any) error {
+	return &Error{Code: c, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns an error with code c, a detail and the cause err. It returns
+// nil when err is nil.
+func Wrap(c Code, err error, detail string) error {
+	if err == nil {
+		return nil
+	}
+	return &Error{Code: c, Detail: detail, Cause: err}
+}
+
+// Of returns the outermost code in err's chain, OK for nil and Internal for an
+// error without one.
+func Of(err error) Code {
+	if err == nil {
+		return OK
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return Internal
+}
+
+// Info returns the description of c. An unknown code has the description of
+// Internal.
+func (c Code) Info() Info {
+	if i, ok := byCode[c]; ok {
+		return i
+	}
+	return byCode[Internal]
+}
+
+// String returns the code's name.
+func (c Code) String() string { return c.Info().Name }
+
+// All returns every code in ascending order.
+func All() []Info { return table }
+
+var byCode = index()
+
+func index() map[Code]Info {
+	m := make(map[Code]Info, len(table))
+	for _, i := range table {
+		m[i.Code] = i
+	}
+	return m
+}
