Operator API and skylarkctl

Cause: operators need a command line, and creates whose answer was lost must be safe to repeat. Change: echo server over a Backend; nouns and verbs of skylarkctl with numbered errors and documented exit codes; a call whose server does not answer or does not know the outcome goes to the next server with the same client-chosen id. Before: none. Conclusion: ready to be joined to a scheduler.

--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,163 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/subcommands"
+
+	"skylarkport/internal/job"
+	"skylarkport/internal/operator"
+	"skylarkport/internal/operator/api"
+	"skylarkport/internal/result"
+)
+
+// store is a Backend that keeps jobs in memory.
+type store struct {
+	jobs map[string]job.Spec
+	lose int // answers to lose after the effect
+}
+
+func (s *store) Submit(_ context.Context, spec job.Spec) (bool, error) {
+	old, ok := s.jobs[spec.ID]
+	if ok && old.Tasks != spec.Tasks {
+		return false, result.Errorf(result.JobExists, "%s", spec.ID)
+	}
+	s.jobs[spec.ID] = spec
+	if s.lose > 0 {
+		s.lose--
+		return false, result.Errorf(result.JobNotStored, "%s", spec.ID)
+	}
+	return !ok, nil
+}
+
+func (s *store) List(_ context.Context, kind job.Kind) (api.JobList, error) {
+	var l api.JobList
+	for _, v := range s.jobs {
+		if kind == "" || v.Kind == kind {
+			l.Jobs = append(l.Jobs, api.Job{Spec: v})
+		}
+	}
+	return l, nil
+}
+
+func (s *store) Show(_ context.Context, id string) (api.Job, error) {
+	v, ok := s.jobs[id]
+	if !ok {
+		return api.Job{}, result.Errorf(result.JobUnknown, "%s", id)
+	}
+	return api.Job{Spec: v, Tasks: []api.Task{{Task: job.TaskID{Job: id}, State: api.TaskRunning, Worker: "w1"}}}, nil
+}
+
+func (s *store) Cancel(_ context.Context, ids []string) (api.CancelReply, error) {
+	var r api.CancelReply
+	for _, id := range ids {
+		code := result.OK
+		if _, ok := s.jobs[id]; !ok {
+			code = result.JobUnknown
+		}
+		r.Results = append(r.Results, api.CancelResult{ID: id, Code: int(code)})
+	}
+	return r, nil
+}
+
+func (s *store) Workers(context.Context) (api.WorkerList, error) {
+	return api.WorkerList{Workers: []api.Worker{{ID: "w1", Zone: "ishikari"}}}, nil
+}
+
+func (s *store) Status(context.Context) (api.Status, error) {
+	return api.Status{Instance: "i1", Zone: "ishikari"}, nil
+}
+
+func (s *store) Explain(_ context.Context, subject string) (api.Explanation, error) {
+	if !strings.HasPrefix(subject, "renewals") {
+		return api.Explanation{}, result.Errorf(result.JobUnknown, "%s", subject)
+	}
+	return api.Explanation{Subject: subject, State: "waiting", Events: []api.Event{{Step: "wait", Detail: "no room"}}}, nil
+}
+
+// execute runs one command line and returns its exit code and output.
+func execute(t *testing.T, server, stdin string, args ...string) (subcommands.ExitStatus, string) {
+	t.Helper()
+	var out bytes.Buffer
+	fs := flag.NewFlagSet("skylarkctl", flag.ContinueOnError)
+	c := subcommands.NewCommander(fs, "skylarkctl")
+	c.Output, c.Error = &out, &out
+	Register(c, &Env{Out: &out, Err: &out, In: strings.NewReader(stdin)})
+	t.Setenv("SKYLARK_SERVERS", server)
+	if err := fs.Parse(args); err != nil {
+		t.Fatal(err)
+	}
+	return c.Execute(context.Background()), out.String()
+}
+
+const renewals = `{"id":"renewals","tenant":"teiki","tasks":20,"needs":{"milli_cpu":500,"memory_mb":256,"accelerators":0},"run_time":"2s"}`
+
+func TestCommands(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "job.json")
+	if err := os.WriteFile(file, []byte(renewals), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		name  string
+		stdin string
+		args  []string
+		lose  int
+		want  subcommands.ExitStatus
+		text  string
+	}{
+		{name: "create from file", args: []string{"job", "create", file}, text: "renewals"},
+		{name: "create from standard input", stdin: renewals, args: []string{"job", "create", "-o", "json", "-"}, text: `"id": "renewals"`},
+		{name: "lost answer is repeated on the next server", args: []string{"job", "create", file}, lose: 1, text: "renewals"},
+		{name: "lost answers everywhere", args: []string{"job", "create", file}, lose: 2, want: ExitAway, text: "1406"},
+		{name: "other job under the id", stdin: strings.Replace(renewals, "20", "21", 1), args: []string{"job", "create", "-"}, want: ExitConflict, text: "1401"},
+		{name: "wrong noun for the kind", stdin: strings.Replace(renewals, "{", `{"kind":"batch",`, 1), args: []string{"service", "create", "-"}, want: ExitUsage, text: "1400"},
+		{name: "unknown field", stdin: `{"nope":1}`, args: []string{"job", "create", "-"}, want: ExitUsage, text: "nope"},
+		{name: "all faults at once", stdin: `{"id":"/","tasks":0}`, args: []string{"job", "create", "-"}, want: ExitUsage, text: "tasks: want"},
+		{name: "trailing data", stdin: renewals + "{}", args: []string{"job", "create", "-"}, want: ExitUsage, text: "follows"},
+		{name: "list", args: []string{"job", "list"}, text: "renewals"},
+		{name: "show", args: []string{"job", "show", "renewals"}, text: "running"},
+		{name: "show unknown", args: []string{"job", "show", "x"}, want: ExitNotFound, text: "1402"},
+		{name: "cancel", args: []string{"job", "cancel", "renewals"}, text: "1000 ok"},
+		{name: "cancel unknown", args: []string{"job", "cancel", "renewals", "x"}, want: ExitNotFound, text: "1402"},
+		{name: "cancel nothing", args: []string{"job", "cancel"}, want: ExitUsage},
+		{name: "workers", args: []string{"workers"}, text: "ishikari"},
+		{name: "status", args: []string{"status", "-o", "json"}, text: `"instance": "i1"`},
+		{name: "explain", args: []string{"explain", "renewals/3"}, text: "no room"},
+		{name: "explain unknown", args: []string{"explain", "x"}, want: ExitNotFound},
+		{name: "unknown verb", args: []string{"job", "drop"}, want: ExitUsage, text: "job create"},
+		{name: "no such file", args: []string{"job", "create", file + "x"}, want: ExitUsage},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &store{jobs: map[string]job.Spec{}, lose: tt.lose}
+			spec := job.Spec{ID: "renewals", Tenant: "teiki", Kind: job.Batch, Tasks: 20}
+			s.jobs[spec.ID] = spec
+			h := operator.New(s, nil)
+			a, b := httptest.NewServer(h), httptest.NewServer(h)
+			defer a.Close()
+			defer b.Close()
+			got, out := execute(t, a.URL+","+b.URL, tt.stdin, tt.args...)
+			if got != tt.want {
+				t.Errorf("exit code %d, want %d; output:\n%s", got, tt.want, out)
+			}
+			if !strings.Contains(out, tt.text) {
+				t.Errorf("output lacks %q:\n%s", tt.text, out)
+			}
+		})
+	}
+}
+
+func TestNoServerAnswers(t *testing.T) {
+	s := httptest.NewServer(nil)
+	s.Close()
+	if got, out := execute(t, s.URL, "", "status"); got != ExitAway {
+		t.Errorf("exit code %d, want %d; output:\n%s", got, ExitAway, out)
+	}
+}
--- /dev/null
+++ b/internal/ctl/exit.go
@@ -0,0 +1,37 @@
+// Package ctl implements the commands of skylarkctl.
+package ctl
+
+import (
+	"github.com/google/subcommands"
+
+	"skylarkport/internal/result"
+)
+
+// Exit codes of skylarkctl. 0 is success.
+const (
+	ExitFailed   subcommands.ExitStatus = 1 // the call failed for a reason not listed below
+	ExitUsage    subcommands.ExitStatus = 2 // the command line or the input is not valid
+	ExitConflict subcommands.ExitStatus = 3 // somebody else's change came first, or the id is taken
+	ExitNotFound subcommands.ExitStatus = 4 // no such job, task, request or bundle
+	ExitAway     subcommands.ExitStatus = 5 // no server answered, or the outcome is unknown; safe to repeat
+	ExitRefused  subcommands.ExitStatus = 6 // refused, and not done
+)
+
+// exitOf maps a numbered error to the exit code.
+func exitOf(err error) subcommands.ExitStatus {
+	switch result.Of(err) {
+	case result.OK:
+		return subcommands.ExitSuccess
+	case result.RequestBad, result.JobBad, result.BundleBad:
+		return ExitUsage
+	case result.JobExists, result.BundleConflict, result.BundleOutdated, result.PlatformConflict:
+		return ExitConflict
+	case result.JobUnknown, result.BundleUnknown, result.PlatformNotFound:
+		return ExitNotFound
+	case result.PeerAway, result.JobNotStored, result.PlatformUnknown:
+		return ExitAway
+	case result.Internal:
+		return ExitFailed
+	}
+	return ExitRefused
+}
