--- /dev/null
+++ b/internal/journal/fake_test.go
@@ -0,0 +1,162 @@
+package journal
+
+import (
+	"context"
+	"sort"
+	"sync"
+
+	"skylarkport/internal/contract"
+	"skylarkport/internal/result"
+)
+
+// fault says what the next commit meets.
+type fault int
+
+const (
+	none     fault = iota
+	down           // refused
+	lost           // applied, answer lost
+	dropped        // not applied, answer lost
+	delayed        // not applied now, answer lost, applied by release
+	limited        // rate limited
+	readDown       // the next read is refused
+)
+
+// fakeTables keeps rows in memory and injects faults in order.
+type fakeTables struct {
+	mu       sync.Mutex
+	rows     map[contract.Key]contract.Row
+	versions map[contract.Key]uint64
+	faults   []fault
+	late     [][]contract.Write
+	objects  map[string][]byte
+	commits  int
+	hook     func() // before a commit is looked at
+}
+
+func newFake() *fakeTables {
+	return &fakeTables{
+		rows:     map[contract.Key]contract.Row{},
+		versions: map[contract.Key]uint64{},
+		objects:  map[string][]byte{},
+	}
+}
+
+func (f *fakeTables) next() fault {
+	if len(f.faults) == 0 {
+		return none
+	}
+	x := f.faults[0]
+	f.faults = f.faults[1:]
+	return x
+}
+
+func (f *fakeTables) Read(ctx context.Context, key contract.Key) (contract.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.faults) > 0 && f.faults[0] == readDown {
+		f.next()
+		return contract.Row{}, &contract.CallError{Code: result.PlatformRefused}
+	}
+	r, ok := f.rows[key]
+	if !ok {
+		return r, &contract.CallError{Code: result.PlatformNotFound}
+	}
+	return r, ctx.Err()
+}
+
+func (f *fakeTables) Scan(_ context.Context, table, from, to string, limit int) ([]contract.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []contract.Row
+	for k, r := range f.rows {
+		if k.Table == table && k.Row >= from && (to == "" || k.Row < to) {
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key.Row < out[j].Key.Row })
+	return out[:min(len(out), limit)], nil
+}
+
+func (f *fakeTables) Commit(ctx context.Context, writes []contract.Write) ([]uint64, error) {
+	if f.hook != nil {
+		f.hook()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.commits++
+	lostErr := &contract.CallError{Code: result.PlatformUnknown, Outcome: contract.Unknown}
+	switch f.next() {
+	case down:
+		return nil, &contract.CallError{Code: result.PlatformRefused}
+	case limited:
+		return nil, &contract.CallError{Code: result.PlatformLimited}
+	case dropped:
+		return nil, lostErr
+	case delayed:
+		f.late = append(f.late, writes)
+		return nil, lostErr
+	case lost:
+		if _, err := f.apply(writes); err != nil {
+			return nil, err
+		}
+		return nil, lostErr
+	}
+	return f.apply(writes)
+}
+
+// release applies the delayed commits now.
+func (f *fakeTables) release() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range f.late {
+		_, _ = f.apply(w)
+	}
+	f.late = nil
+}
+
+func (f *fakeTables) apply(writes []contract.Write) ([]uint64, error) {
+	for _, w := range writes {
+		r, ok := f.rows[w.Key]
+		bad := w.If == contract.IfAbsent && ok || w.If == contract.IfVersion && (!ok || r.Version != w.Version)
+		if bad {
+			return nil, &contract.CallError{Code: result.PlatformConflict, Row: w.Key}
+		}
+	}
+	out := make([]uint64, len(writes))
+	for i, w := range writes {
+		switch w.Do {
+		case contract.Put:
+			f.versions[w.Key]++
+			out[i] = f.versions[w.Key]
+			f.rows[w.Key] = contract.Row{Key: w.Key, Version: out[i], Value: w.Value}
+		case contract.Delete:
+			delete(f.rows, w.Key)
+		}
+	}
+	return out, nil
+}
+
+func (f *fakeTables) Put(_ context.Context, name string, body []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.objects[name] = body
+	return nil
+}
+
+func (f *fakeTables) Get(_ context.Context, name string) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b, ok := f.objects[name]
+	if !ok {
+		return nil, &contract.CallError{Code: result.PlatformNotFound}
+	}
+	return b, nil
+}
+
+func (f *fakeTables) Delete(_ context.Context, name string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.objects, name)
+	return nil
+}
--- /dev/null
+++ b/internal/journal/snapshot.go
@@ -0,0 +1,57 @@
+package journal
+
+import (
+	"context"
+
+	"skylarkport/internal/contract"
+	"skylarkport/internal/result"
+)
+
+const trimRows = 100
+
+// Snapshot stores body as the state after every record up to and including the
+// sequence through, and trims the rows that it covers.
+func (l *Log) Snapshot(ctx context.Context, through uint64, body []byte) error {
+	name := objectName(l.name, l.epoch, through)
+	if err := l.objects.Put(ctx, name, body); err != nil {
+		return result.Wrap(result.JournalAway, err, "snapshot of "+l.name)
+	}
+	var old string
+	err := l.between(ctx, func(run context.Context) error {
+		o := l.owner
+		old, o.Snapshot = o.Snapshot, name
+		o.First = through + 1
+		return l.writeOwner(run, o)
+	})
+	if err != nil {
+		return err
+	}
+	if old != "" && old != name {
+		if err := l.objects.Delete(ctx, old); err != nil {
+			return result.Wrap(result.JournalAway, err, "delete snapshot "+old)
+		}
+	}
+	return l.trim(ctx, through)
+}
+
+// trim deletes the rows up to and including through. The owner row already
+// names a snapshot that covers them, and a later owner never goes below it, so
+// that the deletes need no condition.
+func (l *Log) trim(ctx context.Context, through uint64) error {
+	for {
+		rows, err := l.tables.Scan(ctx, RowTable, rowKey(l.name, 0).Row, rowKey(l.name, through+1).Row, trimRows)
+		if err != nil {
+			return result.Wrap(result.JournalAway, err, "trim "+l.name)
+		}
+		if len(rows) == 0 {
+			return nil
+		}
+		ws := make([]contract.Write, len(rows))
+		for i, r := range rows {
+			ws[i] = contract.Write{Key: r.Key, If: contract.Always, Do: contract.Delete}
+		}
+		if _, err := l.tables.Commit(ctx, ws); err != nil {
+			return result.Wrap(result.JournalAway, err, "trim "+l.name)
+		}
+	}
+}
