--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,205 @@
+package settings
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"skylarkport/internal/job"
+	"skylarkport/internal/result"
+)
+
+// Allowed ranges.
+const (
+	minHeartbeat = 100 * time.Millisecond
+	maxHeartbeat = 10 * time.Second
+	minDrain     = 100 * time.Millisecond
+	maxDrain     = 10 * time.Minute
+	minCall      = 10 * time.Millisecond
+	maxCall      = time.Minute
+	minGrant     = 100 * time.Millisecond
+	maxGrant     = 10 * time.Minute
+	maxPromise   = 24 * time.Hour
+	minExchange  = 10 * time.Millisecond
+	minCycle     = time.Millisecond
+	maxCycle     = time.Minute
+	maxCommit    = 10 * time.Second
+
+	minHeaderBytes = 1 << 10
+	maxHeaderBytes = 1 << 20
+	maxInFlight    = 1_000_000
+	maxKeyRanges   = 4096
+	maxShards      = 4096
+	maxNameBytes   = 64
+
+	// beatsPerGrant is how many heartbeats must fit into a grant, so that a
+	// peer is known to be dead before what it granted lapses.
+	beatsPerGrant = 3
+	// exchangesPerGrant is how many exchanges must fit into a grant.
+	exchangesPerGrant = 2
+)
+
+func checkEntry(s *Entry, c *checker) {
+	checkCommon(&s.Common, c)
+	c.address("listen", s.Listen)
+	c.number("max_header_bytes", s.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
+	c.number("max_in_flight", s.MaxInFlight, 1, maxInFlight)
+	c.number("key_ranges", s.KeyRanges, 1, maxKeyRanges)
+	c.distinct(named{"peer_listen", s.PeerListen}, named{"listen", s.Listen})
+	checkTLS(s.TLS, c, s.addresses(s.Listen))
+}
+
+func checkScheduler(s *Scheduler, c *checker) {
+	checkCommon(&s.Common, c)
+	c.address("operator_listen", s.OperatorListen)
+	c.number("shards", s.Shards, 1, maxShards)
+	c.duration("grant", s.Grant, minGrant, maxGrant)
+	c.duration("promise.latency", s.Promise.Latency, minGrant, maxPromise)
+	c.duration("promise.batch", s.Promise.Batch, minGrant, maxPromise)
+	c.duration("exchange", s.Exchange, minExchange, maxGrant)
+	c.duration("cycle", s.Cycle, minCycle, maxCycle)
+	c.duration("commit", s.Commit, time.Millisecond, maxCommit)
+	c.distinct(named{"peer_listen", s.PeerListen}, named{"operator_listen", s.OperatorListen})
+	checkLeases(s, c)
+	checkTLS(s.TLS, c, s.addresses(s.OperatorListen))
+}
+
+func checkLeases(s *Scheduler, c *checker) {
+	grant := s.Grant.D()
+	if grant <= 0 {
+		return
+	}
+	if s.Promise.Latency.D() <= grant {
+		c.add(result.SettingsConflict, "promise.latency", "more than the grant of %v", grant)
+	}
+	if s.Promise.Batch.D() <= grant {
+		c.add(result.SettingsConflict, "promise.batch", "more than the grant of %v", grant)
+	}
+	if s.Exchange.D()*exchangesPerGrant > grant {
+		c.add(result.SettingsConflict, "exchange", "at most 1/%d of the grant of %v", exchangesPerGrant, grant)
+	}
+	if s.Heartbeat.D()*beatsPerGrant > grant {
+		c.add(result.SettingsConflict, "heartbeat", "at most 1/%d of the grant of %v", beatsPerGrant, grant)
+	}
+}
+
+func checkCommon(s *Common, c *checker) {
+	c.name("deployment", s.Deployment)
+	c.name("instance", s.Instance)
+	checkZones(s, c)
+	c.url("platform.tables", s.Platform.Tables)
+	c.url("platform.objects", s.Platform.Objects)
+	c.url("platform.instances", s.Platform.Instances)
+	c.duration("platform.timeout", s.Platform.Timeout, minCall, maxCall)
+	c.address("peer_listen", s.PeerListen)
+	c.duration("heartbeat", s.Heartbeat, minHeartbeat, maxHeartbeat)
+	c.duration("drain", s.Drain, minDrain, maxDrain)
+	c.oneOf("log.format", s.Log.Format, "json", "text")
+	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+}
+
+func checkZones(s *Common, c *checker) {
+	if len(s.Zones) == 0 {
+		c.add(result.SettingsZone, "zones", "every availability zone of the deployment")
+		return
+	}
+	for i, z := range s.Zones {
+		at := fmt.Sprintf("zones[%d]", i)
+		c.name(at, z)
+		if slices.Contains(s.Zones[:i], z) {
+			c.add(result.SettingsDuplicate, at, "each zone once, %q is repeated", z)
+		}
+	}
+	if !slices.Contains(s.Zones, s.Zone) {
+		c.add(result.SettingsZone, "zone", "one of %s, not %q", strings.Join(s.Zones, ", "), s.Zone)
+	}
+}
+
+// addresses returns every address and URL of s and more.
+func (s *Common) addresses(more ...string) []string {
+	return append(more, s.PeerListen, s.Platform.Tables, s.Platform.Objects, s.Platform.Instances)
+}
+
+func (c *checker) name(path, v string) {
+	if v == "" {
+		c.add(result.SettingsMissing, path, "a name")
+		return
+	}
+	ok := !strings.ContainsFunc(v, func(r rune) bool {
+		return (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-'
+	})
+	if !ok || len(v) > maxNameBytes {
+		c.add(result.SettingsRange, path, "at most %d of a-z, 0-9 and -, not %q", maxNameBytes, v)
+	}
+}
+
+func (c *checker) address(path, v string) {
+	if _, err := parseAddress(v); err != nil {
+		c.add(result.SettingsAddress, path, "an IP number with a port such as 127.0.0.1:7000, not %q", v)
+	}
+}
+
+func parseAddress(v string) (netip.AddrPort, error) {
+	a, err := netip.ParseAddrPort(v)
+	if err != nil {
+		return a, err
+	}
+	if a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().Zone() != "" {
+		return a, fmt.Errorf("no single address and port")
+	}
+	return a, nil
+}
+
+func (c *checker) url(path, v string) {
+	if _, err := parseURL(v); err != nil {
+		c.add(result.SettingsAddress, path, "a URL by IP number such as http://127.0.0.1:7000, not %q", v)
+	}
+}
+
+func parseURL(v string) (netip.AddrPort, error) {
+	u, err := url.Parse(v)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	if u.Scheme != "http" && u.Scheme != "https" || u.User != nil || u.RawQuery != "" || u.Fragment != "" {
+		return netip.AddrPort{}, fmt.Errorf("not a plain http or https URL")
+	}
+	return parseAddress(u.Host)
+}
+
+func (c *checker) number(path string, v, low, high int) {
+	inRange(c, path, v, low, high)
+}
+
+func (c *checker) duration(path string, v job.Duration, low, high time.Duration) {
+	inRange(c, path, v.D(), low, high)
+}
+
+func inRange[T cmp.Ordered](c *checker, path string, v, low, high T) {
+	if v < low || v > high {
+		c.add(result.SettingsRange, path, "%v to %v, not %v", low, high, v)
+	}
+}
+
+func (c *checker) oneOf(path, v string, allowed ...string) {
+	if !slices.Contains(allowed, v) {
+		c.add(result.SettingsRange, path, "one of %s, not %q", strings.Join(allowed, ", "), v)
+	}
+}
+
+type named struct{ path, value string }
+
+// distinct reports addresses that are used twice.
+func (c *checker) distinct(addresses ...named) {
+	for i, a := range addresses {
+		for _, b := range addresses[:i] {
+			if a.value != "" && a.value == b.value {
+				c.add(result.SettingsDuplicate, a.path, "another address than %s of %s", b.value, b.path)
+			}
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,10 +12,10 @@
 	Zone       string       `json:"zone"`       // one of Zones
 	Zones      []string     `json:"zones"`      // every availability zone of the deployment
 	Platform   Platform     `json:"platform"`
-	PeerListen string       `json:"peer_listen"` // IP:port for the system's own processes
-	TLS        TLS          `json:"tls"`
-	Heartbeat  job.Duration `json:"heartbeat"` // between heartbeats in a zone
-	Drain      job.Duration `json:"drain"`     // limit of a graceful shutdown
+	PeerListen string       `json:"peer_listen"`  // IP:port for the system's own processes
+	TLS        TLS          `json:"tls,omitzero"` // absent only where every address is loopback
+	Heartbeat  job.Duration `json:"heartbeat"`    // between heartbeats in a zone
+	Drain      job.Duration `json:"drain"`        // limit of a graceful shutdown
 	Log        Log          `json:"log"`
 	BundleFile string       `json:"bundle_file,omitempty"` // first bundle of a new deployment
 }
--- /dev/null
+++ b/internal/strict/strict.go
@@ -0,0 +1,261 @@
+// Package strict decodes JSON documents and reports every fault with its path:
+// unknown and repeated fields, wrong types, durations without a unit, missing
+// fields and data after the document.
+package strict
+
+import (
+	"bytes"
+	"encoding"
+	"encoding/json"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+
+	"skylarkport/internal/job"
+)
+
+// Kind is the kind of a fault.
+type Kind uint8
+
+// The kinds of faults.
+const (
+	Syntax   Kind = iota // not JSON
+	Trailing             // data after the document
+	Unknown              // a field that the type does not have
+	Repeated             // a field that is given twice
+	Missing              // a required field that is absent
+	Type                 // a value of another type
+	Unit                 // a duration without a unit or with a wrong one
+)
+
+// Fault is one fault of a document.
+type Fault struct {
+	Kind Kind
+	Path string // such as "zones[1].name"; empty for the document
+	Want string // what was expected
+}
+
+// Options change what Decode requires.
+type Options struct {
+	// RequireAll makes every field required whose tag has neither omitempty
+	// nor omitzero.
+	RequireAll bool
+}
+
+// Decode stores the document in v, a pointer to a struct, and returns every
+// fault. Fields without a fault are stored also when others have one.
+func Decode(data []byte, v any, opt Options) []Fault {
+	d := &decoder{opt: opt}
+	raw, ok := d.document(data)
+	if ok {
+		d.value("", raw, reflect.ValueOf(v).Elem())
+	}
+	return d.faults
+}
+
+type decoder struct {
+	opt    Options
+	faults []Fault
+}
+
+func (d *decoder) add(k Kind, path, format string, args ...any) {
+	d.faults = append(d.faults, Fault{Kind: k, Path: path, Want: fmt.Sprintf(format, args...)})
+}
+
+func (d *decoder) document(data []byte) (json.RawMessage, bool) {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	var raw json.RawMessage
+	if err := dec.Decode(&raw); err != nil {
+		d.add(Syntax, "", "a JSON object (byte %d: %v)", dec.InputOffset(), err)
+		return nil, false
+	}
+	end := dec.InputOffset()
+	if _, err := dec.Token(); err != io.EOF {
+		d.add(Trailing, "", "nothing after the object's end at byte %d", end)
+	}
+	return raw, true
+}
+
+var (
+	durationType = reflect.TypeFor[job.Duration]()
+	textType     = reflect.TypeFor[encoding.TextUnmarshaler]()
+)
+
+func (d *decoder) value(path string, raw json.RawMessage, v reflect.Value) {
+	switch {
+	case string(raw) == "null":
+		d.add(Type, path, "%s, not null", typeName(v.Type()))
+	case v.Type() == durationType:
+		d.duration(path, raw, v)
+	case v.Kind() == reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		d.value(path, raw, v.Elem())
+	case reflect.PointerTo(v.Type()).Implements(textType):
+		d.leaf(path, raw, v)
+	case v.Kind() == reflect.Struct:
+		d.object(path, raw, v)
+	case v.Kind() == reflect.Slice && v.Type().Elem().Kind() != reflect.Uint8:
+		d.array(path, raw, v)
+	default:
+		d.leaf(path, raw, v)
+	}
+}
+
+func (d *decoder) leaf(path string, raw json.RawMessage, v reflect.Value) {
+	if err := json.Unmarshal(raw, v.Addr().Interface()); err != nil {
+		d.add(Type, path, "%s, not %s", typeName(v.Type()), clip(raw))
+	}
+}
+
+func (d *decoder) duration(path string, raw json.RawMessage, v reflect.Value) {
+	const want = `a duration with a unit such as "500ms" or "2s", not %s`
+	if raw[0] != '"' {
+		kind := Type
+		if raw[0] == '-' || raw[0] >= '0' && raw[0] <= '9' {
+			kind = Unit
+		}
+		d.add(kind, path, want, clip(raw))
+		return
+	}
+	if err := json.Unmarshal(raw, v.Addr().Interface()); err != nil {
+		d.add(Unit, path, want, clip(raw))
+	}
+}
+
+func (d *decoder) array(path string, raw json.RawMessage, v reflect.Value) {
+	var items []json.RawMessage
+	if err := json.Unmarshal(raw, &items); err != nil {
+		d.add(Type, path, "a list, not %s", clip(raw))
+		return
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(items), len(items)))
+	for i, item := range items {
+		d.value(fmt.Sprintf("%s[%d]", path, i), item, v.Index(i))
+	}
+}
+
+func (d *decoder) object(path string, raw json.RawMessage, v reflect.Value) {
+	if raw[0] != '{' {
+		d.add(Type, path, "an object, not %s", clip(raw))
+		return
+	}
+	fields := fieldsOf(v.Type())
+	seen := map[string]bool{}
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	_, _ = dec.Token() // the opening brace; raw is valid JSON
+	for dec.More() {
+		key, _ := dec.Token()
+		var item json.RawMessage
+		_ = dec.Decode(&item)
+		d.field(path, key.(string), item, v, fields, seen)
+	}
+	d.missing(path, fields, seen)
+}
+
+func (d *decoder) field(path, name string, raw json.RawMessage, v reflect.Value, fields []field, seen map[string]bool) {
+	at := Join(path, name)
+	if seen[name] {
+		d.add(Repeated, at, "the field once")
+		return
+	}
+	seen[name] = true
+	for _, f := range fields {
+		if f.name == name {
+			d.value(at, raw, v.FieldByIndex(f.index))
+			return
+		}
+	}
+	d.add(Unknown, at, "one of %s", names(fields))
+}
+
+func (d *decoder) missing(path string, fields []field, seen map[string]bool) {
+	if !d.opt.RequireAll {
+		return
+	}
+	for _, f := range fields {
+		if !f.optional && !seen[f.name] {
+			d.add(Missing, Join(path, f.name), "%s", typeName(f.typ))
+		}
+	}
+}
+
+// Join returns the path of the field name of the object at path.
+func Join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+type field struct {
+	name     string
+	index    []int
+	typ      reflect.Type
+	optional bool
+}
+
+// fieldsOf lists the fields of struct type t, those of embedded structs included.
+func fieldsOf(t reflect.Type) []field {
+	var out []field
+	for _, f := range reflect.VisibleFields(t) {
+		tag := f.Tag.Get("json")
+		if f.Anonymous && tag == "" || !f.IsExported() || tag == "-" {
+			continue
+		}
+		name, opts, _ := strings.Cut(tag, ",")
+		if name == "" {
+			name = f.Name
+		}
+		out = append(out, field{
+			name:     name,
+			index:    f.Index,
+			typ:      f.Type,
+			optional: strings.Contains(opts, "omit"),
+		})
+	}
+	return out
+}
+
+func names(fields []field) string {
+	out := make([]string, len(fields))
+	for i, f := range fields {
+		out[i] = f.name
+	}
+	return strings.Join(out, ", ")
+}
+
+func typeName(t reflect.Type) string {
+	if t == durationType {
+		return "a duration with a unit"
+	}
+	switch t.Kind() {
+	case reflect.Pointer:
+		return typeName(t.Elem())
+	case reflect.Struct, reflect.Map:
+		return "an object"
+	case reflect.Slice:
+		if t.Elem().Kind() == reflect.Uint8 {
+			return "a base64 string"
+		}
+		return "a list"
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float32, reflect.Float64:
+		return "a number"
+	default:
+		return "a whole number"
+	}
+}
+
+// clipBytes bounds how much of a wrong value a fault repeats.
+const clipBytes = 40
+
+func clip(raw json.RawMessage) string {
+	if len(raw) <= clipBytes {
+		return string(raw)
+	}
+	return string(raw[:clipBytes]) + "..."
+}
