Placement: engine, view, pure stages, queues

Cause: the shard's owner needs decisions to build on. Conclusion: the interface is usable; the policy is not measured yet.

--- /dev/null
+++ b/internal/placement/decide_test.go
@@ -0,0 +1,149 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"skylarkport/internal/bundle"
+	"skylarkport/internal/contract"
+	"skylarkport/internal/job"
+	"skylarkport/internal/resource"
+)
+
+func hostileAmount(t *rapid.T, name string) int64 {
+	return rapid.OneOf(
+		rapid.Int64Range(0, 40_000),
+		rapid.SampledFrom([]int64{math.MinInt64, -1, 0, math.MaxInt64, math.MaxInt64 / 2}),
+	).Draw(t, name)
+}
+
+func hostileVector(t *rapid.T, name string) resource.Vector {
+	return resource.Vector{
+		MilliCPU:     hostileAmount(t, name+".cpu"),
+		MemoryMB:     hostileAmount(t, name+".memory"),
+		Accelerators: hostileAmount(t, name+".accelerators"),
+	}
+}
+
+func hostileSpec(t *rapid.T, i int) *job.Spec {
+	return &job.Spec{
+		ID:       fmt.Sprintf("j%d", i),
+		Tenant:   rapid.SampledFrom([]string{"a", "b"}).Draw(t, "tenant"),
+		Kind:     rapid.SampledFrom([]job.Kind{job.Batch, job.Service, job.Watch}).Draw(t, "kind"),
+		Family:   rapid.SampledFrom([]string{"", "f", "g"}).Draw(t, "family"),
+		Priority: rapid.SampledFrom([]int{math.MinInt, 0, 50, math.MaxInt}).Draw(t, "priority"),
+		Urgent:   rapid.Bool().Draw(t, "urgent"),
+		Needs:    hostileVector(t, "needs"),
+		RunTime:  job.Duration(hostileAmount(t, "run time")),
+		Deadline: job.Duration(hostileAmount(t, "deadline")),
+		Target:   job.Duration(hostileAmount(t, "target")),
+		Retries:  rapid.IntRange(-1, 3).Draw(t, "retries"),
+	}
+}
+
+// TestPlanStaysWithinCapacity applies plans to hostile snapshots and checks
+// that no worker with room is ever committed beyond its capacity.
+func TestPlanStaysWithinCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &Snapshot{Now: time.Hour, Headroom: map[string]resource.Vector{"a": hostileVector(t, "headroom")}}
+		var specs []*job.Spec
+		for i := range rapid.IntRange(1, 6).Draw(t, "jobs") {
+			specs = append(specs, hostileSpec(t, i))
+		}
+		e := New(bundle.Placement{UsagePercentile: math.NaN(), ProcessorMargin: math.Inf(1), TailWeight: 3})
+		attempt := uint32(0)
+		for i := range rapid.IntRange(0, 5).Draw(t, "workers") {
+			w := &Worker{ID: fmt.Sprintf("w%d", i), Rack: "r", Capacity: hostileVector(t, "capacity")}
+			rep := Report{Worker: w.ID, Now: s.Now}
+			for range rapid.IntRange(0, 4).Draw(t, "runs") {
+				attempt++
+				sp := rapid.SampledFrom(specs).Draw(t, "spec")
+				r := &Run{
+					ID:   job.RunID{Task: job.TaskID{Job: sp.ID, Index: 100}, Attempt: attempt},
+					Spec: sp, Commit: hostileVector(t, "commit"),
+					Stopping: rapid.Bool().Draw(t, "stopping"), Throttled: rapid.Bool().Draw(t, "throttled"),
+				}
+				w.Runs = append(w.Runs, r)
+				u := contract.Usage{
+					Used: hostileVector(t, "used"),
+					Load: rapid.SampledFrom([]float64{0.2, 0.9, math.NaN(), math.Inf(1), -1}).Draw(t, "load"),
+					P99:  job.Duration(hostileAmount(t, "p99")),
+					Rate: rapid.SampledFrom([]float64{1, math.NaN(), math.Inf(-1)}).Draw(t, "rate"),
+				}
+				rep.Runs = append(rep.Runs, RunUsage{Run: r.ID, Spec: sp, Commit: r.Commit, At: time.Minute, Usage: u})
+			}
+			s.Workers = append(s.Workers, w)
+			for k := range 4 {
+				for j := range rep.Runs {
+					rep.Runs[j].At = time.Minute + time.Duration(k)*time.Second
+				}
+				e.Observe(rep)
+			}
+		}
+		for i := range rapid.IntRange(0, 12).Draw(t, "pending") {
+			sp := rapid.SampledFrom(specs).Draw(t, "spec")
+			s.Pending = append(s.Pending, &Pending{
+				Task: job.TaskID{Job: sp.ID, Index: i}, Spec: sp,
+				Submitted: time.Duration(hostileAmount(t, "submitted")), Resume: hostileAmount(t, "resume"),
+				Failures: rapid.IntRange(0, 5).Draw(t, "failures"),
+			})
+		}
+		checkPlan(t, s, Decide(s, e.Freeze()))
+	})
+}
+
+// checkPlan fails where a plan commits a worker beyond its capacity, spends
+// more than a tenant's headroom, or places a task twice.
+func checkPlan(t *rapid.T, s *Snapshot, p *Plan) {
+	workers := map[string]*Worker{}
+	for _, w := range s.Workers {
+		workers[w.ID] = w
+	}
+	added := map[string][]resource.Vector{}
+	placed := map[job.TaskID]bool{}
+	for _, d := range p.Decisions {
+		if d.Reason.Stage == "" || d.Reason.Detail == "" {
+			t.Fatalf("%s of %s has no reason", d.Step, d.Task)
+		}
+		switch d.Step {
+		case Place:
+			if placed[d.Task] {
+				t.Fatalf("%s is placed twice", d.Task)
+			}
+			placed[d.Task] = true
+			added[d.Worker] = append(added[d.Worker], d.Commit)
+		case Resize, Unthrottle, Throttle:
+			for _, r := range workers[d.Worker].Runs {
+				if r.ID == d.Run {
+					added[d.Worker] = append(added[d.Worker], d.Commit.Sub(sane(r.Commit)))
+				}
+			}
+		}
+		if (d.Step == Place || d.Step == Resize || d.Step == Throttle) && !d.Commit.Valid() {
+			t.Fatalf("%s commits %+v", d.Step, d.Commit)
+		}
+	}
+	for id, list := range added {
+		checkWorker(t, workers[id], list)
+	}
+}
+
+func checkWorker(t *rapid.T, w *Worker, added []resource.Vector) {
+	left := sane(w.Capacity)
+	grew := false
+	for _, r := range w.Runs {
+		left = left.Sub(sane(r.Commit))
+	}
+	for _, v := range added {
+		v = largest(v, resource.Vector{})
+		grew = grew || !v.IsZero()
+		left = left.Sub(v)
+	}
+	if grew && !left.Valid() {
+		t.Fatalf("worker %s of %+v is %+v over", w.ID, w.Capacity, left)
+	}
+}
--- /dev/null
+++ b/internal/placement/index.go
@@ -0,0 +1,120 @@
+package placement
+
+import "math/bits"
+
+// indexBuckets divides free processors into quarters of powers of two.
+const (
+	indexBuckets     = 64 * quartersPerPower
+	quartersPerPower = 4
+)
+
+// index keeps the nodes by free processors, so that the search for a worker
+// skips those that are too full.
+type index struct {
+	buckets [indexBuckets][]*node
+	used    [indexBuckets / 64]uint64 // buckets that are not empty
+	size    int
+}
+
+func newIndex(nodes []*node) *index {
+	x := &index{}
+	for _, n := range nodes {
+		n.bucket = -1
+		if n.open() {
+			x.insert(n)
+		}
+	}
+	return x
+}
+
+func (x *index) insert(n *node) {
+	b := freeBucket(n.free.MilliCPU)
+	n.bucket, n.slot = b, len(x.buckets[b])
+	x.buckets[b] = append(x.buckets[b], n)
+	x.used[b/64] |= 1 << (b % 64)
+	x.size++
+}
+
+func (x *index) remove(n *node) {
+	list := x.buckets[n.bucket]
+	last := list[len(list)-1]
+	list[n.slot] = last
+	last.slot = n.slot
+	x.buckets[n.bucket] = list[:len(list)-1]
+	if len(list) == 1 {
+		x.used[n.bucket/64] &^= 1 << (n.bucket % 64)
+	}
+	n.bucket = -1
+	x.size--
+}
+
+// update moves n to the bucket of its present free amount. A worker that is not
+// indexed takes no runs and stays out.
+func (x *index) update(n *node) {
+	if n.bucket < 0 {
+		return
+	}
+	if freeBucket(n.free.MilliCPU) == n.bucket && n.open() {
+		return
+	}
+	x.remove(n)
+	if n.open() {
+		x.insert(n)
+	}
+}
+
+// next returns the first bucket at or above b that is not empty, or -1.
+func (x *index) next(b int) int {
+	for w := b / 64; w < len(x.used); w++ {
+		word := x.used[w]
+		if w == b/64 {
+			word &= ^uint64(0) << (b % 64)
+		}
+		if word != 0 {
+			return w*64 + bits.TrailingZeros64(word)
+		}
+	}
+	return -1
+}
+
+// visit calls f for the nodes that may have at least milliCPU free, beginning
+// at a place that start determines and wrapping around, until f returns false.
+func (x *index) visit(milliCPU int64, start uint64, f func(*node) bool) {
+	low := freeBucket(milliCPU)
+	n := 0
+	for b := x.next(low); b >= 0; b = x.next(b + 1) {
+		n += len(x.buckets[b])
+	}
+	if n == 0 {
+		return
+	}
+	skip := int(start % uint64(n))
+	if x.walk(low, skip, n, f) {
+		x.walk(low, 0, skip, f)
+	}
+}
+
+// walk visits the nodes numbered from to to-1, counted from bucket low up.
+func (x *index) walk(low, from, to int, f func(*node) bool) bool {
+	at := 0
+	for b := x.next(low); b >= 0 && at < to; b = x.next(b + 1) {
+		list := x.buckets[b]
+		for i := max(0, from-at); i < len(list) && at+i < to; i++ {
+			if !f(list[i]) {
+				return false
+			}
+		}
+		at += len(list)
+	}
+	return true
+}
+
+// freeBucket returns the bucket of an amount; it never decreases with it.
+func freeBucket(v int64) int {
+	if v < quartersPerPower {
+		return int(max(v, 0))
+	}
+	power := bits.Len64(uint64(v)) - 1
+	quarter := int(v>>(power-2)) & (quartersPerPower - 1)
+	return min(power*quartersPerPower+quarter, indexBuckets-1)
+}
--- /dev/null
+++ b/internal/placement/interference_limit.go
@@ -0,0 +1,69 @@
+package placement
+
+import (
+	"math"
+
+	"skylarkport/internal/job"
+)
+
+// interferenceLimit keeps batch tasks off workers where a service would be
+// expected to miss its target, and prefers those where it suffers least.
+type interferenceLimit struct{}
+
+const (
+	// nowLimit is the latency over target up to which batch work is added;
+	// the weight of tail latency lowers it by up to nowTail. nextTail lowers
+	// in the same way the limit that holds if load rises by one band.
+	nowLimit  = 0.95
+	nowTail   = 0.15
+	nextLimit = 1.25
+	nextTail  = 0.35
+	// caution is how many standard deviations are added to a weight, times
+	// the share of tail latency among the weights.
+	caution = 1.0
+	// maxUnproven is how many neighbours of unknown effect a service has at
+	// once.
+	maxUnproven = 1
+)
+
+func (interferenceLimit) name() string { return StageInterference }
+
+func (interferenceLimit) check(c *cycle, n *node, t *candidate) string {
+	if t.p.Spec.Kind != job.Batch {
+		return ""
+	}
+	c.prepare(n)
+	for i := range n.services {
+		if !c.bearable(&n.services[i], t.family) {
+			return StageInterference
+		}
+	}
+	return ""
+}
+
+// bearable reports whether the service of x stands one more run of the family.
+func (c *cycle) bearable(x *exposure, family string) bool {
+	w := x.curves.Weight(x.band, family)
+	if !w.Proven() && x.unproven >= maxUnproven {
+		return false
+	}
+	if !x.known {
+		return x.unproven < maxUnproven
+	}
+	now := x.now + w.Upper(caution*c.tail)
+	next := x.next + math.Max(0, x.curves.Weight(x.up(), family).Mean)
+	return now <= math.Log(nowLimit-nowTail*c.tail) && next <= math.Log(nextLimit-nextTail*c.tail)
+}
+
+func (interferenceLimit) score(c *cycle, n *node, t *candidate) float64 {
+	if t.p.Spec.Kind != job.Batch {
+		return 0
+	}
+	sum := 0.0
+	for i := range n.services {
+		x := &n.services[i]
+		w := x.curves.Weight(x.band, t.family)
+		sum += math.Max(0, w.Mean) * (1 + math.Exp(x.now))
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/placement/preemption.go
@@ -0,0 +1,120 @@
+package placement
+
+import (
+	"slices"
+
+	"skylarkport/internal/job"
+	"skylarkport/internal/resource"
+)
+
+// preempt makes room for an urgent or latency-critical task by moving batch
+// runs of lower priority, on the worker where that costs least. It returns
+// false where t may not preempt or no worker can be cleared.
+func (c *cycle) preempt(t *candidate) bool {
+	if t.p.Spec.Kind == job.Batch && !t.p.Spec.Urgent {
+		return false
+	}
+	if c.awaitRoom(t) {
+		return true
+	}
+	var (
+		found   *node
+		victims []*Run
+		cost    float64
+	)
+	for _, n := range c.nodes {
+		if !n.open() || n.busy || !t.commit.Fits(sane(n.w.Capacity)) {
+			continue
+		}
+		list, price, ok := c.victims(n, t)
+		if ok && (found == nil || price < cost) {
+			found, victims, cost = n, list, price
+		}
+	}
+	if found == nil {
+		return false
+	}
+	for _, r := range victims {
+		c.step(Preempt, found, r, resource.Vector{}, StagePreemption, "makes room for %s", t.p.Task)
+		found.leaving = found.leaving.Add(sane(r.Commit))
+	}
+	c.nominate(found, t)
+	return true
+}
+
+// awaitRoom reports whether runs that are stopping already make room for t.
+func (c *cycle) awaitRoom(t *candidate) bool {
+	for _, n := range c.nodes {
+		if n.open() && t.commit.Fits(n.free.Add(n.leaving)) && c.admissible(n, t) {
+			c.nominate(n, t)
+			return true
+		}
+	}
+	return false
+}
+
+// admissible applies the filters other than the one for free resources.
+func (c *cycle) admissible(n *node, t *candidate) bool {
+	for _, f := range filters[1:] {
+		if f.check(c, n, t) != "" {
+			return false
+		}
+	}
+	return true
+}
+
+// nominate keeps for t what is free, and what becomes free, on n.
+func (c *cycle) nominate(n *node, t *candidate) {
+	now := least(t.commit, n.free)
+	n.leaving = n.leaving.Sub(t.commit.Sub(now))
+	c.take(n, now)
+	c.charge(t)
+	c.decide(Decision{
+		Step: Wait, Task: t.p.Task, Worker: n.w.ID,
+		Reason: Reason{Stage: StagePreemption, Detail: "room is being made on " + n.w.ID},
+	})
+}
+
+// victims returns the runs to move off n so that t fits, cheapest first.
+func (c *cycle) victims(n *node, t *candidate) ([]*Run, float64, bool) {
+	if !c.admissible(n, t) {
+		return nil, 0, false
+	}
+	var list []*Run
+	for _, r := range n.w.Runs {
+		if !r.Stopping && r.Spec.Kind == job.Batch && c.yields(r, t) {
+			list = append(list, r)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *Run) int {
+		if a.Spec.Priority != b.Spec.Priority {
+			return a.Spec.Priority - b.Spec.Priority
+		}
+		return a.Evictions - b.Evictions
+	})
+	room := n.free.Add(n.leaving)
+	cost := 0.0
+	for i, r := range list {
+		room = room.Add(sane(r.Commit))
+		cost += 1 + float64(r.Evictions) + float64(r.Spec.Priority)/100
+		if t.commit.Fits(room) {
+			return list[:i+1], cost, true
+		}
+	}
+	return nil, 0, false
+}
+
+// yields reports whether run r makes way for t.
+func (c *cycle) yields(r *Run, t *candidate) bool {
+	if r.Spec.Urgent {
+		return false
+	}
+	if t.p.Spec.Kind != job.Batch {
+		return true
+	}
+	return r.Spec.Priority < t.p.Spec.Priority
+}
+
+// Preempting reports whether a task that waits with reason r has room being
+// made for it.
+func Preempting(r Reason) bool { return r.Stage == StagePreemption }
--- /dev/null
+++ b/internal/placement/schedule.go
@@ -0,0 +1,186 @@
+package placement
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"skylarkport/internal/job"
+	"skylarkport/internal/resource"
+)
+
+const (
+	wantFeasible = 16 // workers that are scored for a batch task
+	maxExamined  = 96 // workers that are looked at for them
+)
+
+// prefilters judge a task before any worker is looked at.
+var prefilters = []prefilter{retryLimit{}, neverRuns{}, tenantHeadroom{}}
+
+// filters say which workers may take a task; scores rank those that may.
+var (
+	filters = []filter{nodeResourcesFit{}, workerProbation{}, failedBefore{}, interferenceLimit{}}
+	scores  = []scorer{nodeResourcesFit{}, failedBefore{}, rackSpread{}, interferenceLimit{}}
+)
+
+// prefilter judges a task by itself.
+type prefilter interface {
+	name() string
+	// check returns the step that the task gets at once, or "" to go on.
+	check(c *cycle, t *candidate) (Step, string)
+}
+
+// filter excludes workers.
+type filter interface {
+	name() string
+	// check returns why n may not take the task, or "".
+	check(c *cycle, n *node, t *candidate) string
+}
+
+// scorer ranks workers; lower is better.
+type scorer interface {
+	score(c *cycle, n *node, t *candidate) float64
+}
+
+// candidate is a pending task with what the stages worked out for it.
+type candidate struct {
+	p      *Pending
+	family string
+	commit resource.Vector
+	reject map[string]int // workers by the filter that excluded them
+}
+
+// schedule places the pending tasks in queue order.
+func (c *cycle) schedule() {
+	for i, p := range c.order() {
+		if i == maxConsidered {
+			return
+		}
+		c.place(p)
+	}
+}
+
+func (c *cycle) place(p *Pending) {
+	plain := len(p.FailedOn) == 0 && len(c.v.Floors) == 0
+	if r, ok := c.blocked[p.Task.Job]; ok && plain {
+		c.decide(Decision{Step: Wait, Task: p.Task, Reason: r})
+		return
+	}
+	t := &candidate{p: p, family: Family(p.Spec), commit: c.commitment(p.Spec, p.Task)}
+	for _, f := range prefilters {
+		if step, why := f.check(c, t); step != "" {
+			c.refuse(t, step, Reason{Stage: f.name(), Detail: why})
+			return
+		}
+	}
+	if n, score := c.best(t); n != nil {
+		c.reserve(n, t, score)
+		return
+	}
+	if c.preempt(t) {
+		return
+	}
+	c.refuse(t, Wait, t.why())
+}
+
+func (c *cycle) refuse(t *candidate, step Step, r Reason) {
+	if step == Wait && len(t.p.FailedOn) == 0 {
+		c.blocked[t.p.Task.Job] = r
+	}
+	c.decide(Decision{Step: step, Task: t.p.Task, Reason: r})
+}
+
+// best returns the best worker for t, or nil.
+func (c *cycle) best(t *candidate) (*node, float64) {
+	var (
+		found              *node
+		least              float64
+		feasible, examined int
+	)
+	c.index.visit(t.commit.MilliCPU, startOf(t.p.Task), func(n *node) bool {
+		examined++
+		if f := c.excluded(n, t); f != "" {
+			t.rejected(f)
+			return feasible == 0 || examined < maxExamined
+		}
+		feasible++
+		if s := c.score(n, t); found == nil || s < least || s == least && n.w.ID < found.w.ID {
+			found, least = n, s
+		}
+		if t.p.Spec.Kind != job.Batch {
+			return true
+		}
+		return feasible < wantFeasible && examined < maxExamined
+	})
+	return found, least
+}
+
+func (c *cycle) excluded(n *node, t *candidate) string {
+	for _, f := range filters {
+		if why := f.check(c, n, t); why != "" {
+			return why
+		}
+	}
+	return ""
+}
+
+func (c *cycle) score(n *node, t *candidate) float64 {
+	sum := 0.0
+	for _, s := range scores {
+		sum += s.score(c, n, t)
+	}
+	return sum
+}
+
+// reserve commits t on n for the rest of the cycle.
+func (c *cycle) reserve(n *node, t *candidate, score float64) {
+	c.take(n, t.commit)
+	n.live++
+	n.placed = append(n.placed, t.p)
+	c.charge(t)
+	c.countReplica(n, t.p.Spec)
+	c.expose(n, t)
+	c.decide(Decision{
+		Step: Place, Task: t.p.Task, Worker: n.w.ID, Commit: t.commit, Resume: t.p.Resume,
+		Reason: Reason{Stage: StageReserve, Detail: "best of the workers that fit", Score: score},
+	})
+}
+
+// expose adds t to what the services on n suffer.
+func (c *cycle) expose(n *node, t *candidate) {
+	if t.p.Spec.Kind != job.Batch {
+		n.prepared = false
+		n.services = nil
+		return
+	}
+	for i := range n.services {
+		n.services[i].add(t.family, 1)
+	}
+}
+
+func (t *candidate) rejected(by string) {
+	if t.reject == nil {
+		t.reject = map[string]int{}
+	}
+	t.reject[by]++
+}
+
+// why sums up which filters left no worker.
+func (t *candidate) why() Reason {
+	top, n := "", 0
+	for by, k := range t.reject {
+		if k > n || k == n && by < top {
+			top, n = by, k
+		}
+	}
+	if top == "" {
+		return Reason{Stage: nodeResourcesFit{}.name(), Detail: fmt.Sprintf("no open worker has %d millicores free", t.commit.MilliCPU)}
+	}
+	return Reason{Stage: "Filter", Detail: top + " on " + strconv.Itoa(n) + " workers"}
+}
+
+// startOf spreads the searches of different tasks over the workers.
+func startOf(t job.TaskID) uint64 {
+	return xxhash.Sum64String(t.Job) + uint64(t.Index)*0x9E3779B97F4A7C15
+}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -81,6 +81,7 @@
 	Checkpoint Step = "checkpoint"
 	Move       Step = "move"    // stop with a checkpoint; the task is pending again
 	Preempt    Step = "preempt" // Move, to make room for more important work
+	Evict      Step = "evict"   // stop without a new checkpoint; the task is pending again
 	Wait       Step = "wait"    // the task stays pending
 	SetAside   Step = "set-aside"
 )
@@ -91,7 +92,7 @@
 	Task   job.TaskID
 	Run    job.RunID       // all steps but Place, Wait and SetAside
 	Worker string          // where
-	Commit resource.Vector // Place, Throttle, Unthrottle, Resize
+	Commit resource.Vector // Place, Throttle, Unthrottle, Resize; wanted size of a Move by Grow
 	Resume int64           // Place
 	Reason Reason
 }
