--- /dev/null
+++ b/internal/standin/history.go
@@ -0,0 +1,173 @@
+package standin
+
+import (
+	"sync"
+	"time"
+
+	"skylarkport/internal/job"
+	"skylarkport/internal/resource"
+)
+
+// RunEventKind is what happened to a run.
+type RunEventKind string
+
+// The kinds of run events. All but RunStarted and RunRefused end the run.
+const (
+	RunStarted  RunEventKind = "started"
+	RunRefused  RunEventKind = "refused" // no room; it never ran
+	RunStopped  RunEventKind = "stopped"
+	RunFinished RunEventKind = "finished"
+	RunFailed   RunEventKind = "failed"
+	RunLapsed   RunEventKind = "lapsed" // the grant ended
+	RunLost     RunEventKind = "lost"   // the worker died
+)
+
+// RunEvent is one event of a run on a worker.
+type RunEvent struct {
+	At          time.Duration   `json:"at_ns"` // since the stand-in started
+	Kind        RunEventKind    `json:"kind"`
+	Worker      string          `json:"worker"`
+	Incarnation string          `json:"incarnation"`
+	Epoch       uint64          `json:"epoch"` // highest that the worker has seen
+	Run         job.RunID       `json:"run"`
+	Work        job.Kind        `json:"work"`
+	Commit      resource.Vector `json:"commit"`
+	Resume      int64           `json:"resume"`     // started: progress resumed from
+	Checkpoint  int64           `json:"checkpoint"` // ended: progress saved
+}
+
+// ExecutionEnd is how a request ended at an upstream.
+type ExecutionEnd string
+
+// The ends of a request.
+const (
+	Completed ExecutionEnd = "completed" // the whole answer was written
+	Broken    ExecutionEnd = "broken"    // a fault on request broke it off
+	CutOff    ExecutionEnd = "cut"       // the run or the worker ended under it
+	NotRun    ExecutionEnd = "not-run"   // refused with the proof of not having run
+	Gone499   ExecutionEnd = "caller"    // the caller closed the connection
+)
+
+// Execution is one request that reached an upstream.
+type Execution struct {
+	RequestID  string        `json:"request_id"`
+	Key        string        `json:"key,omitempty"` // idempotency key
+	Service    string        `json:"service"`
+	Method     string        `json:"method"`
+	Path       string        `json:"path"`
+	Run        job.RunID     `json:"run"`
+	Worker     string        `json:"worker"`
+	Start      time.Duration `json:"start_ns"`
+	End        time.Duration `json:"end_ns"`
+	How        ExecutionEnd  `json:"how"`
+	LeavingFor time.Duration `json:"leaving_for_ns,omitempty"` // since the upstream first answered that it is leaving
+}
+
+// WorkerMarks are a worker's extremes.
+type WorkerMarks struct {
+	Worker       string          `json:"worker"`
+	Slots        int             `json:"slots"` // most requests at once
+	Conns        int             `json:"conns"` // most connections at once
+	SlotsRefused int64           `json:"slots_refused"`
+	ConnsRefused int64           `json:"conns_refused"`
+	Committed    resource.Vector `json:"committed"` // most at once, per dimension
+	Capacity     resource.Vector `json:"capacity"`
+	Over         int64           `json:"over"` // instants at which more than the capacity was committed
+}
+
+// Totals counts what happened.
+type Totals struct {
+	Commits          int64 `json:"commits"`
+	RowsWritten      int64 `json:"rows_written"`
+	RowsRead         int64 `json:"rows_read"`
+	Conflicts        int64 `json:"conflicts"`
+	WritesLimited    int64 `json:"writes_limited"`
+	ReadsLimited     int64 `json:"reads_limited"`
+	Exchanges        int64 `json:"exchanges"`
+	ExchangesRefused int64 `json:"exchanges_refused"`
+	RunsStarted      int64 `json:"runs_started"`
+	RunsRefused      int64 `json:"runs_refused"`
+	RunsEnded        int64 `json:"runs_ended"`
+	Executions       int64 `json:"executions"`
+	RecordsDropped   int64 `json:"records_dropped"`
+}
+
+// History is what really happened.
+type History struct {
+	Now        time.Duration `json:"now_ns"` // since the stand-in started
+	Runs       []RunEvent    `json:"runs"`
+	Executions []Execution   `json:"executions"`
+	Workers    []WorkerMarks `json:"workers"`
+	Totals     Totals        `json:"totals"`
+}
+
+// history records events up to a limit per kind.
+type history struct {
+	mu     sync.Mutex
+	limit  int
+	runs   []RunEvent
+	execs  []Execution
+	marks  map[string]*WorkerMarks
+	totals Totals
+}
+
+func newHistory(limit int) *history {
+	return &history{limit: limit, marks: map[string]*WorkerMarks{}}
+}
+
+func (h *history) count(f func(*Totals)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f(&h.totals)
+}
+
+func (h *history) run(e RunEvent) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch e.Kind {
+	case RunStarted:
+		h.totals.RunsStarted++
+	case RunRefused:
+		h.totals.RunsRefused++
+	default:
+		h.totals.RunsEnded++
+	}
+	if len(h.runs) >= h.limit {
+		h.totals.RecordsDropped++
+		return
+	}
+	h.runs = append(h.runs, e)
+}
+
+func (h *history) execution(e Execution) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.totals.Executions++
+	if len(h.execs) >= h.limit {
+		h.totals.RecordsDropped++
+		return
+	}
+	h.execs = append(h.execs, e)
+}
+
+// mark changes the marks of a worker.
+func (h *history) mark(worker string, f func(*WorkerMarks)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m := h.marks[worker]
+	if m == nil {
+		m = &WorkerMarks{Worker: worker}
+		h.marks[worker] = m
+	}
+	f(m)
+}
+
+func (m *WorkerMarks) commit(v, capacity resource.Vector) {
+	m.Capacity = capacity
+	m.Committed.MilliCPU = max(m.Committed.MilliCPU, v.MilliCPU)
+	m.Committed.MemoryMB = max(m.Committed.MemoryMB, v.MemoryMB)
+	m.Committed.Accelerators = max(m.Committed.Accelerators, v.Accelerators)
+	if !v.Fits(capacity) {
+		m.Over++
+	}
+}
--- /dev/null
+++ b/internal/standin/system.go
@@ -0,0 +1,215 @@
+// Package standin is a small stand-in for the platform, its workers and their
+// upstreams, for development and tests. It runs in memory; the same objects
+// serve in-process callers and HTTP. Faults are injected on request, and what
+// really happened is recorded.
+package standin
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"skylarkport/internal/contract"
+	"skylarkport/internal/job"
+	"skylarkport/internal/platform"
+	"skylarkport/internal/result"
+	"skylarkport/internal/settings"
+)
+
+// Defaults of the settings that may be left out.
+const (
+	defaultCallTimeout    = 5 * time.Second
+	defaultHistoryRecords = 500_000
+	defaultStopDrain      = 10 * time.Second
+	defaultSlots          = 8
+	defaultConns          = 64
+	defaultRackSize       = 8
+)
+
+// System is the platform with its workers and upstreams.
+type System struct {
+	cfg       settings.Standin
+	started   time.Time
+	faults    faultSet
+	hist      *history
+	tables    *tableStore
+	objects   objectStore
+	instances instanceStore
+	workers   []*worker
+	byAddr    map[string]*worker
+	byID      map[string]*worker
+}
+
+// New returns a system in its first state. It opens no listener.
+func New(cfg settings.Standin) *System {
+	fill(&cfg)
+	hist := newHistory(cfg.HistoryRecords)
+	s := &System{
+		cfg:       cfg,
+		started:   time.Now(),
+		hist:      hist,
+		tables:    newTableStore(cfg.WritesPerSec, cfg.ReadsPerSec, hist),
+		objects:   objectStore{body: map[string][]byte{}},
+		instances: instanceStore{past: map[string][]change{}},
+		byAddr:    map[string]*worker{},
+		byID:      map[string]*worker{},
+	}
+	for _, e := range cfg.Entries {
+		s.instances.add(contract.Instance{
+			ID: e.ID, Role: contract.EntryRole, Zone: e.Zone, State: contract.Live,
+			EntryPeer: e.EntryPeer, SchedulerPeer: e.SchedulerPeer,
+		}, s.started)
+	}
+	for _, z := range cfg.Zones {
+		for n := range z.Workers {
+			s.addWorker(z.Name, n)
+		}
+	}
+	return s
+}
+
+func fill(cfg *settings.Standin) {
+	setDefault(&cfg.CallTimeout, job.Duration(defaultCallTimeout))
+	setDefault(&cfg.HistoryRecords, defaultHistoryRecords)
+	setDefault(&cfg.StopDrain, job.Duration(defaultStopDrain))
+	setDefault(&cfg.Workers.Slots, defaultSlots)
+	setDefault(&cfg.Workers.Conns, defaultConns)
+	setDefault(&cfg.Workers.RackSize, defaultRackSize)
+	setDefault(&cfg.Workers.IP, "127.0.0.1")
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+func (s *System) addWorker(zone string, n int) {
+	c := s.cfg.Workers
+	port := c.BasePort + 2*len(s.workers)
+	inst := contract.Instance{
+		ID:       fmt.Sprintf("%s-w%03d", zone, n),
+		Role:     contract.WorkerRole,
+		Zone:     zone,
+		Rack:     fmt.Sprintf("%s-r%02d", zone, n/c.RackSize),
+		State:    contract.Live,
+		Address:  fmt.Sprintf("%s:%d", c.IP, port),
+		Capacity: c.Capacity,
+		Slots:    c.Slots,
+		Conns:    c.Conns,
+	}
+	w := newWorker(s, inst, fmt.Sprintf("%s:%d", c.IP, port+1), len(s.workers))
+	s.workers = append(s.workers, w)
+	s.byAddr[inst.Address] = w
+	s.byID[inst.ID] = w
+	s.instances.add(inst, s.started)
+}
+
+// Tables returns the table service as the instance sees it.
+func (s *System) Tables(from platform.From) contract.Tables { return tablesFor{s, from} }
+
+// Objects returns the object store as the instance sees it.
+func (s *System) Objects(from platform.From) contract.Objects { return objectsFor{s, from} }
+
+// Instances returns the instance list as the instance sees it.
+func (s *System) Instances(from platform.From) contract.Instances { return instancesFor{s, from} }
+
+// Workers returns the workers' control interface as the instance sees it.
+func (s *System) Workers(from platform.From) contract.Workers { return workersFor{s, from} }
+
+// Inject puts a fault in force.
+func (s *System) Inject(f Fault) error {
+	if !slices.Contains(kinds, f.Kind) {
+		return refused(result.PlatformBad, "fault kind "+string(f.Kind))
+	}
+	if f.Kind == Cut && (f.From == "" || f.To == "") {
+		return refused(result.PlatformBad, "a cut needs from and to")
+	}
+	if !slices.Contains(actions, f.Kind) {
+		s.faults.add(f)
+		return nil
+	}
+	w, ok := s.byID[f.Target]
+	if !ok {
+		return refused(result.PlatformNotFound, "worker "+f.Target)
+	}
+	w.act(f)
+	return nil
+}
+
+// Clear ends all faults and pauses. A killed worker stays dead.
+func (s *System) Clear() {
+	s.faults.clear()
+	for _, w := range s.workers {
+		w.resume()
+	}
+}
+
+// Mark changes the state of an instance in the platform's list.
+func (s *System) Mark(id string, state contract.State) error {
+	if err := s.instances.mark(id, state); err != nil {
+		return err
+	}
+	if w, ok := s.byID[id]; ok {
+		w.setLeaving(state == contract.Leaving)
+	}
+	return nil
+}
+
+// Add adds an instance to the platform's list.
+func (s *System) Add(i contract.Instance) { s.instances.add(i, time.Now()) }
+
+// History returns what happened so far.
+func (s *System) History() History {
+	for _, w := range s.workers {
+		w.settle()
+	}
+	h := s.hist
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := History{
+		Now:        s.now(),
+		Runs:       slices.Clone(h.runs),
+		Executions: slices.Clone(h.execs),
+		Totals:     h.totals,
+	}
+	for _, m := range h.marks {
+		out.Workers = append(out.Workers, *m)
+	}
+	slices.SortFunc(out.Workers, func(a, b WorkerMarks) int { return strings.Compare(a.Worker, b.Worker) })
+	return out
+}
+
+// Totals returns the counters.
+func (s *System) Totals() Totals {
+	s.hist.mu.Lock()
+	defer s.hist.mu.Unlock()
+	return s.hist.totals
+}
+
+// Advance settles every worker at the present time: what was due ends.
+func (s *System) Advance() {
+	for _, w := range s.workers {
+		w.settle()
+	}
+}
+
+func (s *System) now() time.Duration { return time.Since(s.started) }
+
+// workersFor is the workers' control interface as one instance sees it.
+type workersFor struct {
+	sys  *System
+	from platform.From
+}
+
+// Exchange implements contract.Workers.
+func (w workersFor) Exchange(ctx context.Context, addr string, req contract.ExchangeRequest) (contract.ExchangeReply, error) {
+	target, ok := w.sys.byAddr[addr]
+	if !ok {
+		return contract.ExchangeReply{}, refused(result.WorkerAway, "no worker at "+addr)
+	}
+	return target.call(ctx, w.from, req)
+}
