Links between processes: jsonrpc2 over mutual TLS 1.3

Cause: the system's own processes need authenticated connections and must tell a refused peer why. Change: internal/link with identities in certificates, keys reloaded from their files, numbered refusals that both sides log, byte counts, bounded messages.

--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,413 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"skylarkport/internal/obs"
+	"skylarkport/internal/result"
+	"skylarkport/internal/settings"
+)
+
+// pipes is a Transport of in-memory pipes.
+type pipes struct {
+	mu        sync.Mutex
+	listeners map[string]*pipeListener
+}
+
+type pipeListener struct {
+	net.Listener
+	accept chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (p *pipes) Listen(address string) (net.Listener, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := &pipeListener{accept: make(chan net.Conn), closed: make(chan struct{})}
+	p.listeners[address] = l
+	return l, nil
+}
+
+func (p *pipes) Dial(ctx context.Context, address string) (net.Conn, error) {
+	p.mu.Lock()
+	l := p.listeners[address]
+	p.mu.Unlock()
+	if l == nil {
+		return nil, syscall.ECONNREFUSED
+	}
+	a, b := net.Pipe()
+	select {
+	case l.accept <- b:
+		return a, nil
+	case <-l.closed:
+		return nil, syscall.ECONNREFUSED
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accept:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// echo answers "echo" with its parameters and "fail" with a coded error.
+type echo struct {
+	mu       sync.Mutex
+	notified []string
+	opened   int
+	closed   int
+}
+
+func (h *echo) Opened(*Conn) { h.mu.Lock(); defer h.mu.Unlock(); h.opened++ }
+func (h *echo) Closed(*Conn) { h.mu.Lock(); defer h.mu.Unlock(); h.closed++ }
+
+func (h *echo) Notified(_ *Conn, method string, params json.RawMessage) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.notified = append(h.notified, method+string(params))
+}
+
+func (h *echo) Called(_ context.Context, _ *Conn, method string, params json.RawMessage) (any, error) {
+	if method == "echo" {
+		return params, nil
+	}
+	return nil, result.Errorf(result.JobUnknown, "j1")
+}
+
+// writePair stores a pair's files and the authority's in a new directory.
+func writePair(t *testing.T, ca, pair Pair) settings.TLS {
+	t.Helper()
+	dir := t.TempDir()
+	files := settings.TLS{
+		CA:   filepath.Join(dir, "ca.pem"),
+		Cert: filepath.Join(dir, "cert.pem"),
+		Key:  filepath.Join(dir, "key.pem"),
+	}
+	storeKeys(t, files, ca, pair)
+	return files
+}
+
+func storeKeys(t *testing.T, files settings.TLS, ca, pair Pair) {
+	t.Helper()
+	for name, data := range map[string][]byte{files.CA: ca.Cert, files.Cert: pair.Cert, files.Key: pair.Key} {
+		if err := os.WriteFile(name, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func newCA(t *testing.T) Pair {
+	t.Helper()
+	ca, err := GenerateCA("test", 24*time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ca
+}
+
+func newPair(t *testing.T, ca Pair, id Identity, from, to time.Duration) Pair {
+	t.Helper()
+	pair, err := GenerateCert(ca, id, time.Now().Add(from), time.Now().Add(to))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return pair
+}
+
+func loadKeys(t *testing.T, files settings.TLS, deployment string) *Keys {
+	t.Helper()
+	k, err := LoadKeys(files, deployment)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// lockedBuffer collects the log.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(b)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func captureLog(t *testing.T) *lockedBuffer {
+	t.Helper()
+	out := &lockedBuffer{}
+	if err := obs.Setup(out, "text", "info"); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func helloOf(deployment, instance string) Hello {
+	id := Identity{Deployment: deployment, Instance: instance, Program: "entry"}
+	return Hello{Identity: id, Zone: "ishikari", Address: instance, Incarnation: "1"}
+}
+
+// serve runs an endpoint until the test's end.
+func serve(t *testing.T, cfg Config) *Endpoint {
+	t.Helper()
+	e := NewEndpoint(cfg)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := e.Serve(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	synctest.Wait()
+	return e
+}
+
+const year = 365 * 24 * time.Hour
+
+// TestRefusals checks who is refused, with which code, and that both sides log it.
+func TestRefusals(t *testing.T) {
+	a := Identity{Deployment: "dosanko", Instance: "a", Program: "entry"}
+	tests := []struct {
+		name     string
+		id       Identity // in the dialer's certificate
+		hello    Hello    // the dialer's
+		other    bool     // signed by an unknown authority
+		from, to time.Duration
+		want     result.Code
+	}{
+		{"good", a, helloOf("dosanko", "a"), false, 0, time.Hour, result.OK},
+		{"other deployment", Identity{"cymru", "a", "entry"}, helloOf("cymru", "a"), false, 0, time.Hour, result.PeerDeployment},
+		{"other deployment in the hello", a, helloOf("cymru", "a"), false, 0, time.Hour, result.PeerDeployment},
+		{"expired", a, helloOf("dosanko", "a"), false, -2 * time.Hour, -time.Hour, result.PeerExpired},
+		{"not yet valid", a, helloOf("dosanko", "a"), false, time.Hour, 2 * time.Hour, result.PeerExpired},
+		{"unknown authority", a, helloOf("dosanko", "a"), true, 0, time.Hour, result.PeerRefused},
+		{"other instance in the hello", a, helloOf("dosanko", "b"), false, 0, time.Hour, result.PeerRefused},
+		{"other program in the hello", Identity{"dosanko", "a", "scheduler"}, helloOf("dosanko", "a"), false, 0, time.Hour, result.PeerRefused},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := captureLog(t)
+				ca := newCA(t)
+				net := &pipes{listeners: map[string]*pipeListener{}}
+				server := helloOf("dosanko", "s")
+				serverKeys := writePair(t, ca, newPair(t, ca, server.Identity, 0, time.Hour))
+				serve(t, Config{Self: server, Keys: loadKeys(t, serverKeys, "dosanko"), Transport: net, Handler: &echo{}})
+
+				signer := ca
+				if tt.other {
+					signer = newCA(t)
+				}
+				files := writePair(t, ca, newPair(t, signer, tt.id, tt.from, tt.to))
+				// The dialer itself accepts the server: it believes to be of dosanko.
+				client := serve(t, Config{Self: tt.hello, Keys: loadKeys(t, files, "dosanko"), Transport: net, Handler: &echo{}})
+				c, err := client.Dial(t.Context(), "s")
+				if result.Of(err) != tt.want {
+					t.Fatalf("Dial() = %v, want code %d", err, tt.want)
+				}
+				if tt.want == result.OK {
+					c.Close()
+					return
+				}
+				synctest.Wait()
+				if n := strings.Count(log.String(), fmt.Sprintf("%d %s", tt.want, tt.want)); n < 2 {
+					t.Errorf("the code is logged %d times, want by both sides:\n%s", n, log.String())
+				}
+			})
+		})
+	}
+}
+
+// TestServerRefused checks that a server of another deployment is refused by the
+// dialer and learns why.
+func TestServerRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := captureLog(t)
+		ca := newCA(t)
+		net := &pipes{listeners: map[string]*pipeListener{}}
+		server, client := helloOf("cymru", "s"), helloOf("dosanko", "a")
+		serverFiles := writePair(t, ca, newPair(t, ca, server.Identity, 0, time.Hour))
+		serve(t, Config{Self: server, Keys: loadKeys(t, serverFiles, "cymru"), Transport: net, Handler: &echo{}})
+		files := writePair(t, ca, newPair(t, ca, client.Identity, 0, time.Hour))
+		e := serve(t, Config{Self: client, Keys: loadKeys(t, files, "dosanko"), Transport: net, Handler: &echo{}})
+		if _, err := e.Dial(t.Context(), "s"); result.Of(err) != result.PeerDeployment {
+			t.Fatalf("Dial() = %v", err)
+		}
+		synctest.Wait()
+		if !strings.Contains(log.String(), "the peer refused this process") {
+			t.Errorf("the server did not log the refusal:\n%s", log)
+		}
+	})
+}
+
+func TestCalls(t *testing.T) {
+	for _, secure := range []bool{false, true} {
+		t.Run(fmt.Sprintf("tls=%v", secure), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				net := &pipes{listeners: map[string]*pipeListener{}}
+				ca := newCA(t)
+				keys := func(h Hello) *Keys {
+					if !secure {
+						return nil
+					}
+					return loadKeys(t, writePair(t, ca, newPair(t, ca, h.Identity, 0, time.Hour)), "dosanko")
+				}
+				server, client := helloOf("dosanko", "s"), helloOf("dosanko", "a")
+				sh, ch := &echo{}, &echo{}
+				serve(t, Config{Self: server, Keys: keys(server), Transport: net, Handler: sh})
+				e := serve(t, Config{Self: client, Keys: keys(client), Transport: net, Handler: ch})
+				c, err := e.Dial(t.Context(), "s")
+				if err != nil {
+					t.Fatal(err)
+				}
+				var got string
+				if err := c.Call(t.Context(), "echo", "hi", &got); err != nil || got != "hi" {
+					t.Errorf("Call() = %q, %v", got, err)
+				}
+				err = c.Call(t.Context(), "fail", nil, nil)
+				if result.Of(err) != result.JobUnknown || strings.Count(err.Error(), "1402") != 1 {
+					t.Errorf("Call() = %v, want code %d once", err, result.JobUnknown)
+				}
+				for i := range 3 {
+					if err := c.Notify("n", i); err != nil {
+						t.Error(err)
+					}
+				}
+				synctest.Wait()
+				if got := strings.Join(sh.notified, " "); got != "n0 n1 n2" {
+					t.Errorf("notified %q", got)
+				}
+				if c.Peer() != server || e.Bytes().Out.Load() == 0 || e.Bytes().In.Load() == 0 {
+					t.Errorf("peer %+v, bytes %d %d", c.Peer(), e.Bytes().Out.Load(), e.Bytes().In.Load())
+				}
+				c.Close()
+				synctest.Wait()
+				if sh.opened != 1 || sh.closed != 1 || ch.opened != 1 || ch.closed != 1 {
+					t.Errorf("opened and closed: %+v %+v", sh, ch)
+				}
+				if err := c.Call(t.Context(), "echo", "hi", &got); result.Of(err) != result.PeerAway {
+					t.Errorf("Call() on a closed connection = %v", err)
+				}
+			})
+		})
+	}
+}
+
+// TestNoHello checks that a caller without a hello is refused.
+func TestNoHello(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := &pipes{listeners: map[string]*pipeListener{}}
+		h := &echo{}
+		serve(t, Config{Self: helloOf("dosanko", "s"), Transport: net, Handler: h})
+		e := NewEndpoint(Config{Self: helloOf("dosanko", "a"), Transport: net, Handler: &echo{}})
+		defer e.stop()
+		raw, err := net.Dial(t.Context(), "s")
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := e.secure(t.Context(), raw, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.start()
+		if err := c.Call(t.Context(), "echo", "hi", nil); result.Of(err) != result.PeerAway {
+			t.Errorf("Call() = %v, want code %d", err, result.PeerAway)
+		}
+		if h.opened != 0 {
+			t.Error("the connection was opened")
+		}
+	})
+}
+
+// TestReload checks that changed keys are used without a restart, that a
+// connection of an expired certificate is closed, and that a file that cannot be
+// parsed leaves the earlier keys.
+func TestReload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		captureLog(t)
+		ca := newCA(t)
+		net := &pipes{listeners: map[string]*pipeListener{}}
+		server, client := helloOf("dosanko", "s"), helloOf("dosanko", "a")
+		serverFiles := writePair(t, ca, newPair(t, ca, server.Identity, 0, year))
+		serve(t, Config{Self: server, Keys: loadKeys(t, serverFiles, "dosanko"), Transport: net, Handler: &echo{}})
+		files := writePair(t, ca, newPair(t, ca, client.Identity, 0, time.Minute))
+		e := serve(t, Config{Self: client, Keys: loadKeys(t, files, "dosanko"), Transport: net, Handler: &echo{}})
+		c, err := e.Dial(t.Context(), "s")
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute + 2*reloadInterval)
+		select {
+		case <-c.Done():
+		default:
+			t.Error("the connection outlived its certificate")
+		}
+		if _, err := e.Dial(t.Context(), "s"); result.Of(err) != result.PeerExpired {
+			t.Fatalf("Dial() with the expired key = %v", err)
+		}
+		storeKeys(t, files, ca, newPair(t, ca, client.Identity, 0, time.Hour))
+		time.Sleep(2 * reloadInterval)
+		if _, err := e.Dial(t.Context(), "s"); err != nil {
+			t.Fatalf("Dial() with the new key = %v", err)
+		}
+		storeKeys(t, files, ca, Pair{Cert: []byte("x"), Key: []byte("y")})
+		time.Sleep(2 * reloadInterval)
+		if _, err := e.Dial(t.Context(), "s"); err != nil {
+			t.Fatalf("Dial() after broken files = %v", err)
+		}
+	})
+}
+
+// TestLoopbackTCP checks the real transport.
+func TestLoopbackTCP(t *testing.T) {
+	l, err := TCP{}.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	defer l.Close()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		c, _ := l.Accept()
+		accepted <- c
+	}()
+	c, err := TCP{}.Dial(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	(<-accepted).Close()
+}
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -74,6 +74,7 @@
 	PeerExpired    Code = 1602
 	PeerRefused    Code = 1603
 	PeerAway       Code = 1604
+	PeerBusy       Code = 1605
 
 	Deposed       Code = 1700
 	JournalAway   Code = 1701
@@ -159,6 +160,7 @@
 	{PeerExpired, "peer-expired", 403, true, "The peer's certificate is expired or not yet valid."},
 	{PeerRefused, "peer-refused", 403, true, "The peer's certificate is not signed by a known authority."},
 	{PeerAway, "peer-away", 503, false, "The peer does not answer."},
+	{PeerBusy, "peer-busy", 503, true, "The peer runs as many calls of this process as it allows."},
 
 	{Deposed, "deposed", 503, true, "Another instance owns the shard or key range."},
 	{JournalAway, "journal-away", 503, true, "The decision cannot be recorded now."},
