--- a/Makefile
+++ b/Makefile
@@ -19,3 +19,6 @@
 	@out=$$($(GO) tool gofumpt -l cmd internal); if [ -n "$$out" ]; then echo "not formatted: $$out"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+
+demo: build
+	bash scripts/demo.sh
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -39,7 +39,7 @@
 // echoed is the part of the stand-in upstream's answer that is checked.
 type echoed struct {
 	RequestID string `json:"request_id"`
-	BodySHA   string `json:"body_sha256"`
+	BodySHA   string `json:"sha256"`
 }
 
 // Run sends the requests and returns what came back.
