--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -93,7 +93,7 @@
 		e := l.queue[0]
 		records += len(e.records)
 		bytes += e.bytes
-		full := records > l.opt.MaxRecords || bytes > l.opt.MaxBytes
+		full := records > l.opt.MaxRecords || bytes > l.opt.MaxBytes || len(rows)+len(e.extra) > maxExtra
 		if len(b.entries) > 0 && (full || overlap(rows, e.extra)) {
 			signal(l.wake)
 			break
--- a/internal/journal/open.go
+++ b/internal/journal/open.go
@@ -15,6 +15,7 @@
 	retryMin     = 50 * time.Millisecond
 	retryMax     = time.Second
 	takeoverTrys = 5
+	maxExtra     = 200 // extra rows in a commit, unless one entry alone has more
 )
 
 // Options sets the sizes of group commits. The zero value is usable.
--- /dev/null
+++ b/internal/shard/apply.go
@@ -0,0 +1,249 @@
+package shard
+
+import (
+	"strings"
+
+	"skylarkport/internal/contract"
+	"skylarkport/internal/job"
+	"skylarkport/internal/placement"
+	"skylarkport/internal/result"
+)
+
+const maxFailedOn = 5
+
+// Apply changes the state by one record. It returns result.JournalBroken, and
+// leaves the state as it was, for a record that contradicts it.
+func (s *State) Apply(r *Record) error {
+	switch {
+	case r.Promise != nil:
+		s.Promise = max(s.Promise, r.Promise.Length)
+	case r.Admit != nil:
+		return s.admit(r.Admit)
+	case r.Cancel != nil:
+		s.cancel(r.Cancel)
+	case r.Place != nil:
+		return s.place(r.Place)
+	case r.Stop != nil:
+		return s.stop(r.Stop)
+	case r.Resize != nil:
+		return s.resize(r.Resize)
+	case r.Resized != nil:
+		return s.resized(r.Resized)
+	case r.Progress != nil:
+		return s.progress(r.Progress)
+	case r.End != nil:
+		return s.end(r.End)
+	case r.Moved != nil:
+		return s.moved(r.Moved)
+	case r.Escrow != nil:
+		s.Escrow[r.Escrow.Tenant] = r.Escrow.Amount
+	default:
+		return result.Errorf(result.JournalBroken, "record of an unknown kind")
+	}
+	return nil
+}
+
+func (s *State) admit(r *AdmitRecord) error {
+	if r.Spec == nil || r.From < 0 || r.From >= r.To {
+		return result.Errorf(result.JournalBroken, "admit without tasks")
+	}
+	j := s.Jobs[r.Spec.ID]
+	if j == nil {
+		j = &Job{Tasks: map[int]*Task{}}
+		s.Jobs[r.Spec.ID] = j
+	}
+	for i := r.From; i < r.To; i++ {
+		if t := j.Tasks[i]; t != nil && t.Phase != Moved {
+			return result.Errorf(result.JournalBroken, "task %s is here already", t.ID)
+		}
+	}
+	if j.open == 0 {
+		s.unend(r.Spec.ID)
+	}
+	j.Spec, j.Submitted = r.Spec, r.Submitted
+	for i := r.From; i < r.To; i++ {
+		s.admitTask(j, job.TaskID{Job: r.Spec.ID, Index: i}, r.Carry)
+	}
+	s.closeJob(j)
+	return nil
+}
+
+func (s *State) admitTask(j *Job, id job.TaskID, carry *CarriedState) {
+	t := &Task{ID: id, Phase: Waiting, job: j}
+	if carry != nil {
+		t.Attempt, t.Resume, t.Moves = carry.Attempt, carry.Resume, carry.Moves
+		t.Evictions, t.Failures = carry.Evictions, carry.Failures
+	}
+	j.Tasks[id.Index] = t
+	j.open++
+	s.Totals.Admitted++
+	if j.Cancelled {
+		s.finish(t, Cancelled)
+		return
+	}
+	s.waiting[id] = t
+}
+
+// cancel ends waiting tasks. Runs end by a StopRecord and an EndRecord. The
+// cancellation of a job that is not known yet is kept for its tasks.
+func (s *State) cancel(r *CancelRecord) {
+	j := s.Jobs[r.Job]
+	if j == nil {
+		j = &Job{Tasks: map[int]*Task{}}
+		s.Jobs[r.Job] = j
+		s.Ended = append(s.Ended, r.Job)
+	}
+	if j.Cancelled {
+		return
+	}
+	j.Cancelled = true
+	for _, t := range j.Tasks {
+		if t.Phase == Waiting {
+			s.finish(t, Cancelled)
+		}
+	}
+	s.closeJob(j)
+}
+
+func (s *State) place(r *PlaceRecord) error {
+	t := s.Task(r.Run.Task)
+	if t == nil || t.Phase != Waiting || r.Run.Attempt != t.Attempt+1 {
+		return result.Errorf(result.JournalBroken, "place of %s", r.Run)
+	}
+	t.Phase, t.Attempt = Placed, r.Run.Attempt
+	delete(s.waiting, t.ID)
+	s.attach(t, &Run{
+		ID: r.Run, Worker: r.Worker, Incarnation: r.Incarnation,
+		Commit: r.Commit, Held: r.Commit,
+		Resume: r.Resume, Checkpoint: r.Resume,
+	})
+	return nil
+}
+
+func (s *State) stop(r *StopRecord) error {
+	run := s.Run(r.Run)
+	if run == nil {
+		return result.Errorf(result.JournalBroken, "stop of %s", r.Run)
+	}
+	run.Stop, run.Save = r.Cause, r.Checkpoint
+	return nil
+}
+
+func (s *State) resize(r *ResizeRecord) error {
+	run := s.Run(r.Run)
+	if run == nil {
+		return result.Errorf(result.JournalBroken, "resize of %s", r.Run)
+	}
+	run.Held = largest(run.Held, r.Commit)
+	run.Commit, run.Throttled = r.Commit, r.Throttled
+	return nil
+}
+
+func (s *State) resized(r *ResizedRecord) error {
+	run := s.Run(r.Run)
+	if run == nil || run.Commit != r.Commit {
+		return result.Errorf(result.JournalBroken, "resized %s", r.Run)
+	}
+	run.Held = r.Commit
+	return nil
+}
+
+func (s *State) progress(r *ProgressRecord) error {
+	run := s.Run(r.Run)
+	if run == nil {
+		return result.Errorf(result.JournalBroken, "progress of %s", r.Run)
+	}
+	run.Checkpoint = max(run.Checkpoint, r.Checkpoint)
+	return nil
+}
+
+func (s *State) end(r *EndRecord) error {
+	run := s.Run(r.Run)
+	if run == nil || !r.State.Final() {
+		return result.Errorf(result.JournalBroken, "end of %s", r.Run)
+	}
+	t := run.task
+	s.detach(run)
+	t.Resume = max(run.Checkpoint, r.Checkpoint)
+	t.Reason = r.Reason
+	if run.Stop == StopMoved || run.Stop == StopPreempted {
+		t.Evictions++
+	}
+	s.settle(t, run, r)
+	s.closeJob(t.job)
+	return nil
+}
+
+// settle decides what becomes of a task whose run ended.
+func (s *State) settle(t *Task, run *Run, r *EndRecord) {
+	if r.State == contract.Failed && !outgrew(r.Reason) {
+		t.Failures++
+		t.FailedOn = append(t.FailedOn, run.Worker)
+		t.FailedOn = t.FailedOn[max(0, len(t.FailedOn)-maxFailedOn):]
+	}
+	spec := t.job.Spec
+	switch {
+	case r.State == contract.Finished && spec.Kind == job.Batch:
+		s.finish(t, Finished)
+	case t.job.Cancelled:
+		s.finish(t, Cancelled)
+	case spec.Kind == job.Batch && t.Failures > spec.Retries:
+		s.finish(t, Failed)
+	default:
+		t.Phase = Waiting
+		s.waiting[t.ID] = t
+	}
+}
+
+// outgrew reports whether the run ended because its commitment was too small,
+// which says nothing against the task.
+func outgrew(reason string) bool { return strings.HasPrefix(reason, placement.ReasonMemory) }
+
+func (s *State) moved(r *MovedRecord) error {
+	t := s.Task(r.Task)
+	if t == nil || t.Phase != Waiting {
+		return result.Errorf(result.JournalBroken, "move of %s", r.Task)
+	}
+	t.MovedTo = r.To
+	s.finish(t, Moved)
+	s.closeJob(t.job)
+	return nil
+}
+
+func (s *State) finish(t *Task, p Phase) {
+	t.Phase = p
+	delete(s.waiting, t.ID)
+	t.job.open--
+	switch p {
+	case Finished:
+		s.Totals.Finished++
+	case Failed:
+		s.Totals.Failed++
+	case Cancelled:
+		s.Totals.Cancelled++
+	case Moved:
+		s.Totals.Moved++
+	}
+}
+
+// closeJob keeps the newest ended jobs and drops the others.
+func (s *State) closeJob(j *Job) {
+	if j.open > 0 || j.Spec == nil {
+		return
+	}
+	s.unend(j.Spec.ID)
+	s.Ended = append(s.Ended, j.Spec.ID)
+	for len(s.Ended) > maxEndedJobs {
+		delete(s.Jobs, s.Ended[0])
+		s.Ended = s.Ended[1:]
+	}
+}
+
+func (s *State) unend(id string) {
+	for i, e := range s.Ended {
+		if e == id {
+			s.Ended = append(s.Ended[:i:i], s.Ended[i+1:]...)
+			return
+		}
+	}
+}
