--- a/internal/contract/worker.go
+++ b/internal/contract/worker.go
@@ -108,7 +108,11 @@
 	Worker      string          `json:"worker"`
 	Incarnation string          `json:"incarnation"` // changes at every restart
 	Stamp       int64           `json:"stamp_ns"`    // monotonic clock, taken when the request arrived
-	Capacity    resource.Vector `json:"capacity"`
-	Leaving     bool            `json:"leaving,omitempty"`
-	Runs        []RunReport     `json:"runs"`
+	// LeaseEnd is when the grant in force lapses, on the worker's monotonic
+	// clock, this exchange's grant included; at most Stamp when none is in
+	// force. Zero means that the worker does not tell.
+	LeaseEnd int64           `json:"lease_end_ns,omitempty"`
+	Capacity resource.Vector `json:"capacity"`
+	Leaving  bool            `json:"leaving,omitempty"`
+	Runs     []RunReport     `json:"runs"`
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -17,7 +17,7 @@
 	return clock{rate: 1 + ppm/1e6}
 }
 
-func (c clock) at(real float64) float64   { return real * c.rate }
+func (c clock) at(real float64) float64    { return real * c.rate }
 func (c clock) real(local float64) float64 { return local / c.rate }
 
 // TestBoundsHoldUnderDrift draws clocks, delays and lengths, and checks that the
--- a/internal/shard/apply.go
+++ b/internal/shard/apply.go
@@ -174,7 +174,9 @@
 	return nil
 }
 
-// settle decides what becomes of a task whose run ended.
+// settle decides what becomes of a task whose run ended. A task that fails again
+// and again stays waiting here and is set aside by the placement policy, which
+// knows whether the worker was at fault.
 func (s *State) settle(t *Task, run *Run, r *EndRecord) {
 	if r.State == contract.Failed && !outgrew(r.Reason) {
 		t.Failures++
@@ -187,8 +189,6 @@
 		s.finish(t, Finished)
 	case t.job.Cancelled:
 		s.finish(t, Cancelled)
-	case spec.Kind == job.Batch && t.Failures > spec.Retries:
-		s.finish(t, Failed)
 	default:
 		t.Phase = Waiting
 		s.waiting[t.ID] = t
@@ -217,8 +217,6 @@
 	switch p {
 	case Finished:
 		s.Totals.Finished++
-	case Failed:
-		s.Totals.Failed++
 	case Cancelled:
 		s.Totals.Cancelled++
 	case Moved:
--- /dev/null
+++ b/internal/shard/inbox.go
@@ -0,0 +1,151 @@
+package shard
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"skylarkport/internal/contract"
+)
+
+// InboxTable holds new work for the shards.
+const InboxTable = "inbox"
+
+// InboxKey returns the row of a message to the shard. Rows are read in the
+// order of their order.
+func InboxKey(shard, order string) contract.Key {
+	return contract.Key{Table: InboxTable, Row: shard + "/" + order}
+}
+
+// Encode returns the message as a row's value.
+func (m *Message) Encode() []byte {
+	b, err := json.Marshal(m)
+	if err != nil {
+		panic(err) // only plain structs come here
+	}
+	return b
+}
+
+// inbox reads the shard's inbox every cycle and when kicked.
+func (o *Owner) inbox(ctx context.Context) {
+	t := time.NewTicker(o.cfg.Cycle)
+	defer t.Stop()
+	from := ""
+	for {
+		from = o.readInbox(ctx, from)
+		if from != "" {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-o.kicked:
+		}
+	}
+}
+
+// readInbox takes one page in. It returns where the next page begins, or "".
+func (o *Owner) readInbox(ctx context.Context, from string) string {
+	prefix := o.cfg.Shard + "/"
+	if from == "" {
+		from = prefix
+	}
+	if _, away := o.away(); away {
+		return ""
+	}
+	rows, err := o.ext.Tables.Scan(ctx, InboxTable, from, o.cfg.Shard+"0", inboxPage)
+	if err != nil || len(rows) == 0 {
+		return ""
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.consume(rows)
+	if len(rows) < inboxPage || o.err != nil {
+		return ""
+	}
+	return rows[len(rows)-1].Key.Row + "\x00"
+}
+
+// consume proposes the messages of a page. Each row is deleted in the commit
+// that records it. Submissions go before cancellations, whose order keys other
+// instances may have minted by other clocks.
+func (o *Owner) consume(rows []contract.Row) {
+	var cancels []contract.Row
+	for _, row := range rows {
+		if o.taken[row.Key.Row] {
+			continue
+		}
+		var m Message
+		if err := json.Unmarshal(row.Value, &m); err != nil {
+			o.logger.WithError(err).WithField("row", row.Key.Row).Error("shard: unreadable message, dropped")
+			o.take(row, nil)
+			continue
+		}
+		if m.Cancel != nil {
+			cancels = append(cancels, row)
+			continue
+		}
+		o.take(row, o.admit(&m))
+	}
+	for _, row := range cancels {
+		var m Message
+		_ = json.Unmarshal(row.Value, &m) // was read above
+		o.take(row, o.cancel(m.Cancel))
+	}
+}
+
+// take proposes records together with the deletion of the row they came from.
+func (o *Owner) take(row contract.Row, records []*Record) {
+	o.taken[row.Key.Row] = true
+	drop := contract.Write{Key: row.Key, If: contract.IfVersion, Version: row.Version, Do: contract.Delete}
+	if len(records) == 0 {
+		records = []*Record{{Promise: &PromiseRecord{Length: o.st.Promise}}}
+	}
+	o.propose(records, []contract.Write{drop}, func() { delete(o.taken, row.Key.Row) })
+}
+
+// admit returns the records of new tasks or quota.
+func (o *Owner) admit(m *Message) []*Record {
+	switch {
+	case m.Admit != nil && m.Admit.Spec != nil:
+		return o.admitTasks(m.Admit)
+	case m.Escrow != nil:
+		sum := o.st.Escrow[m.Escrow.Tenant].Add(m.Escrow.Add)
+		return []*Record{{Escrow: &EscrowRecord{Tenant: m.Escrow.Tenant, Amount: sum}}}
+	}
+	return nil
+}
+
+// admitTasks drops an admission whose tasks are here already.
+func (o *Owner) admitTasks(a *AdmitRecord) []*Record {
+	if j := o.st.Jobs[a.Spec.ID]; j != nil {
+		for i := a.From; i < a.To; i++ {
+			if t := j.Tasks[i]; t != nil && t.Phase != Moved {
+				return nil
+			}
+		}
+	}
+	if a.From < 0 || a.From >= a.To {
+		return nil
+	}
+	o.note(Event{Task: taskOf(a), Step: "admit", Stage: "Inbox", Detail: fmt.Sprintf("tasks %d to %d", a.From, a.To-1)})
+	return []*Record{{Admit: a}}
+}
+
+// cancel returns the records of a cancellation: it and the stop of every run.
+func (o *Owner) cancel(c *CancelRecord) []*Record {
+	records := []*Record{{Cancel: c}}
+	j := o.st.Jobs[c.Job]
+	if j == nil || j.Cancelled {
+		return records
+	}
+	for _, t := range j.Tasks {
+		if t.Run != nil && t.Run.Stop == "" {
+			records = append(records, o.stopping(t.Run, StopCancelled, false, "the job was cancelled"))
+		}
+		delete(o.tasks, t.ID)
+	}
+	return records
+}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -14,12 +14,11 @@
 // Phase is the state of a task in its shard.
 type Phase string
 
-// The phases of a task. The last four are final.
+// The phases of a task. The last three are final.
 const (
 	Waiting   Phase = "waiting"
 	Placed    Phase = "placed" // a run holds resources
 	Finished  Phase = "finished"
-	Failed    Phase = "failed"
 	Cancelled Phase = "cancelled"
 	Moved     Phase = "moved" // to another shard
 )
@@ -74,7 +73,6 @@
 type Totals struct {
 	Admitted  int64 `json:"admitted"`
 	Finished  int64 `json:"finished"`
-	Failed    int64 `json:"failed"`
 	Cancelled int64 `json:"cancelled"`
 	Moved     int64 `json:"moved"`
 }
