--- a/internal/shard/applier.go
+++ b/internal/shard/applier.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"skylarkport/internal/placement"
 	"skylarkport/internal/resource"
@@ -13,7 +12,6 @@
 // and proposes those that hold. The others are dropped with a reason; the next
 // cycle decides anew. The lock is held.
 func (o *Owner) apply(plan *placement.Plan) {
-	var records []*Record
 	done := &placement.Plan{}
 	for i := range plan.Decisions {
 		d := &plan.Decisions[i]
@@ -29,7 +27,6 @@
 		}
 		o.propose([]*Record{r}, nil, o.kicker(d.Worker))
 	}
-	o.propose(records, nil, nil)
 	o.policy.Applied(o.now(), done)
 }
 
--- a/internal/shard/apply.go
+++ b/internal/shard/apply.go
@@ -178,7 +178,7 @@
 // and again stays waiting here and is set aside by the placement policy, which
 // knows whether the worker was at fault.
 func (s *State) settle(t *Task, run *Run, r *EndRecord) {
-	if r.State == contract.Failed && !outgrew(r.Reason) {
+	if r.State == contract.Failed && !excused(r.Reason) {
 		t.Failures++
 		t.FailedOn = append(t.FailedOn, run.Worker)
 		t.FailedOn = t.FailedOn[max(0, len(t.FailedOn)-maxFailedOn):]
@@ -195,9 +195,11 @@
 	}
 }
 
-// outgrew reports whether the run ended because its commitment was too small,
-// which says nothing against the task.
-func outgrew(reason string) bool { return strings.HasPrefix(reason, placement.ReasonMemory) }
+// excused reports whether a failed run says nothing against the task: its
+// commitment was too small, or the worker had no room.
+func excused(reason string) bool {
+	return strings.HasPrefix(reason, placement.ReasonMemory) || strings.HasPrefix(reason, result.WorkerFull.String())
+}
 
 func (s *State) moved(r *MovedRecord) error {
 	t := s.Task(r.Task)
--- a/internal/shard/config.go
+++ b/internal/shard/config.go
@@ -7,6 +7,7 @@
 	"skylarkport/internal/contract"
 	"skylarkport/internal/job"
 	"skylarkport/internal/placement"
+	"skylarkport/internal/quarantine"
 	"skylarkport/internal/resource"
 )
 
@@ -60,7 +61,8 @@
 	Applied(now time.Duration, p *placement.Plan)
 	Forget(worker string)
 	Decide(s *placement.Snapshot) *placement.Plan
-	Quarantined(worker string) bool
+	// Quarantined returns the workers that take no new work for their failures.
+	Quarantined() map[string]bool
 }
 
 // enginePolicy is the placement engine as a Policy.
@@ -74,6 +76,15 @@
 	return placement.Decide(s, p.Freeze())
 }
 
+// Quarantined implements Policy.
+func (p enginePolicy) Quarantined() map[string]bool {
+	out := map[string]bool{}
+	for id, s := range p.Freeze().Quarantine {
+		out[id] = s != quarantine.Clear
+	}
+	return out
+}
+
 // Message is a row of a shard's inbox.
 type Message struct {
 	Admit  *AdmitRecord  `json:"admit,omitempty"`
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"skylarkport/internal/contract"
+	"skylarkport/internal/job"
 	"skylarkport/internal/lease"
 	"skylarkport/internal/result"
 )
@@ -36,7 +37,7 @@
 		o.mu.Lock()
 		w := o.workers[id]
 		o.mu.Unlock()
-		if w == nil || !wait4(ctx, next, w.kick) {
+		if w == nil || !pause(ctx, next, w.kick) {
 			return
 		}
 		select {
@@ -53,7 +54,7 @@
 	}
 }
 
-func wait4(ctx context.Context, d time.Duration, kick <-chan struct{}) bool {
+func pause(ctx context.Context, d time.Duration, kick <-chan struct{}) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -116,9 +117,7 @@
 			o.order(&req, r, t, bound)
 		}
 	}
-	for id := range w.forget {
-		req.Forget = append(req.Forget, id)
-	}
+	req.Forget = o.forgettable(w)
 	return req
 }
 
@@ -141,13 +140,26 @@
 	}
 }
 
+// forgettable returns the ended runs that the worker reported and that it may
+// forget: the end is durable and no start of it can still arrive. The worker's
+// memory of the run is what makes a late start do nothing.
+func (o *Owner) forgettable(w *worker) []job.RunID {
+	var out []job.RunID
+	for id := range w.ended {
+		if o.durable.Run(id) == nil && o.now() > w.late[id] {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 func startOrder(r *Run) contract.StartOrder {
 	spec := r.task.job.Spec
 	s := contract.StartOrder{
 		Run: r.ID, Kind: spec.Kind, Tenant: spec.Tenant, Family: spec.FamilyName(),
 		Image: spec.Image, RunTime: spec.RunTime, Commit: r.Commit, Resume: r.Resume,
 	}
-	if spec.Kind == "service" {
+	if spec.Kind == job.Service {
 		s.Service = spec.ID
 	}
 	return s
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -126,7 +126,7 @@
 	for _, runs := range o.st.workers {
 		for id, r := range runs {
 			o.runs[id] = &track{started: now}
-			o.workerOf(r.Worker).bound = o.fence
+			o.workerOf(r.Worker).fence = o.fence
 		}
 	}
 	for id, t := range o.st.waiting {
--- a/internal/shard/propose.go
+++ b/internal/shard/propose.go
@@ -32,11 +32,28 @@
 		encoded = append(encoded, r.encode())
 	}
 	o.decided++
+	for _, r := range records {
+		o.rest(r)
+	}
 	o.queue = append(o.queue, proposal{entry: o.log.Queue(encoded, extra), records: records, then: then})
 	signal(o.queued)
 	return o.decided
 }
 
+// rest makes the next order for a run wait for the newest proposal.
+func (o *Owner) rest(r *Record) {
+	switch {
+	case r.Place != nil:
+		o.runs[r.Place.Run] = &track{proposal: o.decided, started: o.now()}
+		delete(o.tasks, r.Place.Run.Task)
+	case r.Stop != nil:
+		o.runs[r.Stop.Run].proposal = o.decided
+		o.routes.Change++
+	case r.Resize != nil:
+		o.runs[r.Resize.Run].proposal = o.decided
+	}
+}
+
 // watch follows the proposals into the journal, in their order.
 func (o *Owner) watch(ctx context.Context) {
 	for {
--- a/internal/shard/view.go
+++ b/internal/shard/view.go
@@ -95,12 +95,13 @@
 func (o *Owner) Workers() []api.Worker {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	quarantined := o.policy.Quarantined()
 	out := make([]api.Worker, 0, len(o.workers))
 	for id, w := range o.workers {
 		out = append(out, api.Worker{
 			ID: id, Zone: o.cfg.Zone, Rack: w.inst.Rack, Shard: o.cfg.Shard, Owner: o.cfg.Owner,
 			Health: healthName(o.health(w)), Capacity: o.capacity(w), Committed: o.st.Held(id),
-			Runs: len(o.st.workers[id]), Quarantined: o.policy.Quarantined(id),
+			Runs: len(o.st.workers[id]), Quarantined: quarantined[id],
 		})
 	}
 	slices.SortFunc(out, func(a, b api.Worker) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -17,12 +17,14 @@
 	listed      bool
 	incarnation string
 	stamp       lease.Stamp
-	bound       time.Duration // after it no grant can be in force, unless renewed
+	bound       time.Duration // after it no grant of this owner can be in force
+	fence       time.Duration // after it no grant of an earlier owner can be in force
 	answered    time.Duration // when it last answered; 0 for never
 	capacity    resource.Vector
 	leaving     bool
-	changed     time.Duration // the newest change of what runs on it
-	forget      map[job.RunID]bool
+	changed     time.Duration               // the newest change of what runs on it
+	late        map[job.RunID]time.Duration // ended runs: until when a start may still arrive
+	ended       map[job.RunID]bool          // reported with a final state
 	kick        chan struct{}
 	working     bool // its loop runs
 }
@@ -30,12 +32,15 @@
 func (o *Owner) workerOf(id string) *worker {
 	w := o.workers[id]
 	if w == nil {
-		w = &worker{inst: contract.Instance{ID: id}, forget: map[job.RunID]bool{}, kick: make(chan struct{}, 1)}
+		w = &worker{inst: contract.Instance{ID: id}, late: map[job.RunID]time.Duration{}, ended: map[job.RunID]bool{}, kick: make(chan struct{}, 1)}
 		o.workers[id] = w
 	}
 	return w
 }
 
+// lapsed reports whether no grant can be in force at the worker.
+func (w *worker) lapsed(now time.Duration) bool { return now > w.bound && now > w.fence }
+
 // syncFleet takes the platform's list in. A worker that left the list is kept
 // while it may hold runs.
 func (o *Owner) syncFleet() {
@@ -47,7 +52,7 @@
 	}
 	for id, w := range o.workers {
 		w.listed = listed[id]
-		if !w.listed && len(o.st.workers[id]) == 0 && o.now() > w.bound {
+		if !w.listed && len(o.st.workers[id]) == 0 && w.lapsed(o.now()) {
 			delete(o.workers, id)
 			o.policy.Forget(id)
 		}
@@ -74,22 +79,16 @@
 	var records []*Record
 	for id, runs := range o.st.workers {
 		w := o.workerOf(id)
-		if now <= w.bound {
+		if !w.lapsed(now) {
 			continue
 		}
 		for _, r := range runs {
-			if o.recorded(r) {
-				records = append(records, o.ended(r, contract.Stopped, ProofLapse, "the worker's lease lapsed", r.Checkpoint))
-			}
+			records = append(records, o.ended(r, contract.Stopped, ProofLapse, "the worker's lease lapsed", r.Checkpoint))
 		}
 	}
 	o.propose(records, nil, nil)
 }
 
-// recorded reports whether the newest decision on the run is durable. Without
-// that no order was sent, and none of its successors may overtake it.
-func (o *Owner) recorded(r *Run) bool { return o.runs[r.ID].proposal <= o.stored }
-
 // ended builds the record of a run's end and tells the policy.
 func (o *Owner) ended(r *Run, s contract.RunState, p Proof, reason string, checkpoint int64) *Record {
 	t := o.runs[r.ID]
@@ -100,26 +99,18 @@
 	})
 	w := o.workerOf(r.Worker)
 	w.changed = now
+	w.late[r.ID] = t.bound
 	delete(o.runs, r.ID)
-	failures := r.task.Failures
+	failures := 0
 	if s == contract.Failed {
-		failures++
+		failures = r.task.Failures + 1
 	}
-	o.tasks[r.ID.Task] = &wait{notBefore: now + backoff(failuresAfter(s, failures)), reason: reason}
+	o.tasks[r.ID.Task] = &wait{notBefore: now + backoff(failures), reason: reason}
 	o.routes.Change++
 	o.note(Event{Task: r.ID.Task, Run: r.ID, Worker: r.Worker, Step: string(s), Stage: string(p), Detail: reason})
 	return &Record{End: &EndRecord{Run: r.ID, State: s, Proof: p, Reason: reason, Checkpoint: checkpoint}}
 }
 
-// failuresAfter is the number of failures that the back-off counts: a task that
-// was moved or lost its worker runs again at once.
-func failuresAfter(s contract.RunState, failures int) int {
-	if s == contract.Failed {
-		return failures
-	}
-	return 0
-}
-
 // jitter spreads exchanges over the interval.
 func jitter(d time.Duration) time.Duration {
 	return d*9/10 + rand.N(d/5+1)
--- /dev/null
+++ b/internal/shard/world_test.go
@@ -0,0 +1,250 @@
+package shard
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/text"
+
+	"skylarkport/internal/bundle"
+	"skylarkport/internal/contract"
+	"skylarkport/internal/job"
+	"skylarkport/internal/platform"
+	"skylarkport/internal/resource"
+	"skylarkport/internal/settings"
+	"skylarkport/internal/standin"
+)
+
+const (
+	testZone  = "ishikari"
+	testShard = testZone + "/0"
+)
+
+// world is the stand-in platform with owners of one shard, in virtual time.
+type world struct {
+	t       *testing.T
+	sys     *standin.System
+	workers int
+	cfg     Config
+	owners  map[string]*running
+	from    map[string]platform.From
+	orders  int
+	jobs    map[string]int // tasks submitted by job
+}
+
+type running struct {
+	o    *Owner
+	stop context.CancelFunc
+	done chan error
+}
+
+func newWorld(t *testing.T, workers int, cfg settings.Standin) *world {
+	t.Helper()
+	cfg.Workers = settings.StandinWorkers{
+		IP: "127.0.0.1", BasePort: 20000, RackSize: 8,
+		Capacity: resource.Vector{MilliCPU: 8000, MemoryMB: 16000, Accelerators: 1},
+	}
+	cfg.Zones = []settings.StandinZone{{Name: testZone, Workers: workers}}
+	if cfg.CallTimeout == 0 {
+		cfg.CallTimeout = job.Duration(2 * time.Second)
+	}
+	return &world{
+		t: t, sys: standin.New(cfg), workers: workers,
+		cfg: Config{
+			Shard: testShard, Zone: testZone, Grant: 10 * time.Second, Promise: 15 * time.Minute,
+			Exchange: time.Second, Cycle: 500 * time.Millisecond, Commit: 100 * time.Millisecond,
+		},
+		owners: map[string]*running{}, jobs: map[string]int{},
+	}
+}
+
+func (w *world) fromOf(name string) platform.From {
+	return platform.From{Zone: testZone, Instance: name}
+}
+
+func (w *world) platform(name string) Platform {
+	from := w.fromOf(name)
+	return Platform{
+		Tables: w.sys.Tables(from), Objects: w.sys.Objects(from), Workers: w.sys.Workers(from),
+		Fleet: w.fleet,
+	}
+}
+
+func (w *world) fleet() []contract.Instance {
+	list, err := w.sys.Instances(w.fromOf("test")).List(context.Background())
+	if err != nil {
+		return nil
+	}
+	var out []contract.Instance
+	for _, i := range list {
+		if i.Role == contract.WorkerRole {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func quiet() log.Interface {
+	return &log.Logger{Handler: text.New(io.Discard), Level: log.ErrorLevel}
+}
+
+// open starts an owner and returns it.
+func (w *world) open(name string) (*running, error) {
+	cfg := w.cfg
+	cfg.Owner = name
+	return w.openWith(cfg, w.platform(name))
+}
+
+func (w *world) openWith(cfg Config, ext Platform) (*running, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	o, err := Open(ctx, cfg, ext, NewPolicy(bundle.Placement{}), quiet())
+	if err != nil {
+		stop()
+		return nil, err
+	}
+	r := &running{o: o, stop: stop, done: make(chan error, 1)}
+	go func() { r.done <- o.Run(ctx) }()
+	w.owners[cfg.Owner] = r
+	return r, nil
+}
+
+func (w *world) mustOpen(name string) *running {
+	w.t.Helper()
+	r, err := w.open(name)
+	if err != nil {
+		w.t.Fatalf("open %s: %v", name, err)
+	}
+	return r
+}
+
+// close ends every owner gracefully.
+func (w *world) close() {
+	for _, r := range w.owners {
+		r.stop()
+	}
+	for name, r := range w.owners {
+		<-r.done
+		delete(w.owners, name)
+	}
+}
+
+// submit writes inbox rows past every fault, as a submission that was accepted.
+func (w *world) submit(spec job.Spec) {
+	w.t.Helper()
+	w.jobs[spec.ID] = spec.Tasks
+	m := Message{Admit: &AdmitRecord{Spec: &spec, Submitted: time.Now().UnixMilli(), To: spec.Tasks}}
+	w.send(m)
+}
+
+func (w *world) cancel(id string) { w.send(Message{Cancel: &CancelRecord{Job: id}}) }
+
+func (w *world) send(m Message) {
+	w.t.Helper()
+	w.orders++
+	key := InboxKey(testShard, fmt.Sprintf("%020d", w.orders))
+	from := platform.From{Zone: testZone, Instance: "operator"}
+	for {
+		_, err := w.sys.Tables(from).Commit(context.Background(), []contract.Write{{Key: key, If: contract.IfAbsent, Do: contract.Put, Value: m.Encode()}})
+		if err == nil || contract.IsConflict(err) {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+func batch(id string, tasks int, run time.Duration) job.Spec {
+	return job.Spec{
+		ID: id, Tenant: "kizuna", Kind: job.Batch, Family: "renewal", Tasks: tasks, RunTime: job.Duration(run),
+		Needs: resource.Vector{MilliCPU: 1000, MemoryMB: 1000}, Retries: 3,
+	}
+}
+
+func service(id string, tasks int) job.Spec {
+	s := batch(id, tasks, 0)
+	s.Kind, s.Family, s.Target = job.Service, id, job.Duration(50*time.Millisecond)
+	return s
+}
+
+// audit checks the stand-in's record of what really ran: at most one run of a
+// task at any time, every resume from the last checkpoint, no worker over its
+// capacity.
+func (w *world) audit() {
+	w.t.Helper()
+	h := w.sys.History()
+	for _, m := range h.Workers {
+		if m.Over > 0 || !m.Committed.Fits(m.Capacity) {
+			w.t.Errorf("worker %s was over its capacity %d times: %+v", m.Worker, m.Over, m.Committed)
+		}
+	}
+	live := map[job.TaskID]standin.RunEvent{}
+	saved := map[job.TaskID]int64{}
+	attempts := map[job.RunID]int{}
+	finished := map[job.TaskID]int{}
+	for _, e := range h.Runs {
+		id := e.Run.Task
+		switch e.Kind {
+		case standin.RunStarted:
+			if other, ok := live[id]; ok {
+				w.t.Errorf("%v: %s started on %s while %s runs on %s", e.At, e.Run, e.Worker, other.Run, other.Worker)
+			}
+			if attempts[e.Run]++; attempts[e.Run] > 1 {
+				w.t.Errorf("%s was started %d times", e.Run, attempts[e.Run])
+			}
+			if e.Resume > saved[id] {
+				w.t.Errorf("%s resumed from %d, saved %d", e.Run, e.Resume, saved[id])
+			}
+			live[id] = e
+		case standin.RunRefused:
+			w.t.Errorf("%s was refused by %s: no room", e.Run, e.Worker)
+		default:
+			delete(live, id)
+			saved[id] = max(saved[id], e.Checkpoint)
+			if e.Kind == standin.RunFinished {
+				if finished[id]++; finished[id] > 1 {
+					w.t.Errorf("%s finished %d times", id, finished[id])
+				}
+			}
+		}
+	}
+}
+
+// live counts the runs of the job that the workers hold.
+func (w *world) live(jobID string) int {
+	n := 0
+	for _, e := range w.sys.History().Runs {
+		if e.Run.Task.Job != jobID {
+			continue
+		}
+		switch e.Kind {
+		case standin.RunStarted:
+			n++
+		case standin.RunRefused:
+		default:
+			n--
+		}
+	}
+	return n
+}
+
+// states counts the job's tasks by state, as the owner tells.
+func (w *world) states(o *Owner, id string) string {
+	counts := map[string]int{}
+	var order []string
+	for _, t := range o.Tasks(id) {
+		s := string(t.State)
+		if counts[s] == 0 {
+			order = append(order, s)
+		}
+		counts[s]++
+	}
+	parts := make([]string, len(order))
+	for i, s := range order {
+		parts[i] = fmt.Sprintf("%s=%d", s, counts[s])
+	}
+	return strings.Join(parts, " ")
+}
--- a/internal/standin/exchange.go
+++ b/internal/standin/exchange.go
@@ -162,6 +162,7 @@
 		Worker:      w.inst.ID,
 		Incarnation: w.incarnation,
 		Stamp:       int64(arrived),
+		LeaseEnd:    int64(max(w.expiry, arrived)),
 		Capacity:    w.inst.Capacity,
 		Leaving:     leaving,
 		Runs:        []contract.RunReport{},
