--- a/internal/contract/worker.go
+++ b/internal/contract/worker.go
@@ -105,9 +105,9 @@
 
 // ExchangeReply is a worker's answer to an exchange that it accepted.
 type ExchangeReply struct {
-	Worker      string          `json:"worker"`
-	Incarnation string          `json:"incarnation"` // changes at every restart
-	Stamp       int64           `json:"stamp_ns"`    // monotonic clock, taken when the request arrived
+	Worker      string `json:"worker"`
+	Incarnation string `json:"incarnation"` // changes at every restart
+	Stamp       int64  `json:"stamp_ns"`    // monotonic clock, taken when the request arrived
 	// LeaseEnd is when the grant in force lapses, on the worker's monotonic
 	// clock, this exchange's grant included; at most Stamp when none is in
 	// force. Zero means that the worker does not tell.
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -32,7 +32,6 @@
 	workers int
 	cfg     Config
 	owners  map[string]*running
-	from    map[string]platform.From
 	orders  int
 	jobs    map[string]int // tasks submitted by job
 }
@@ -213,24 +212,6 @@
 	}
 }
 
-// live counts the runs of the job that the workers hold.
-func (w *world) live(jobID string) int {
-	n := 0
-	for _, e := range w.sys.History().Runs {
-		if e.Run.Task.Job != jobID {
-			continue
-		}
-		switch e.Kind {
-		case standin.RunStarted:
-			n++
-		case standin.RunRefused:
-		default:
-			n--
-		}
-	}
-	return n
-}
-
 // states counts the job's tasks by state, as the owner tells.
 func (w *world) states(o *Owner, id string) string {
 	counts := map[string]int{}
