--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -200,7 +200,10 @@
 	if _, hit := w.hit(Down); hit {
 		return none, refused(result.WorkerAway, w.inst.ID+" is down")
 	}
-	reply, err := w.exchange(req)
+	reply, err := w.exchangeOrLate(ctx, req)
+	if contract.OutcomeOf(err) == contract.Unknown && err != nil {
+		return none, err
+	}
 	if f, hit := w.hit(Slow); hit && sleep(ctx, f.Delay.D()) != nil {
 		return none, unknown(result.WorkerAway, "no answer in time")
 	}
@@ -215,6 +218,30 @@
 	return reply, err
 }
 
+// exchangeOrLate takes req now or, under a Late fault, later: also when the
+// caller gave up.
+func (w *worker) exchangeOrLate(ctx context.Context, req contract.ExchangeRequest) (contract.ExchangeReply, error) {
+	f, hit := w.hit(Late)
+	if !hit {
+		return w.exchange(req)
+	}
+	type outcome struct {
+		reply contract.ExchangeReply
+		err   error
+	}
+	done := make(chan outcome, 1)
+	time.AfterFunc(f.Delay.D(), func() {
+		reply, err := w.exchange(req)
+		done <- outcome{reply, err}
+	})
+	select {
+	case o := <-done:
+		return o.reply, o.err
+	case <-ctx.Done():
+		return contract.ExchangeReply{}, unknown(result.WorkerAway, "no answer in time")
+	}
+}
+
 func (w *worker) hit(kind Kind) (Fault, bool) {
 	return w.sys.faults.hit(kind, w.inst.ID, "workers")
 }
--- /dev/null
+++ b/internal/standin/worker_test.go
@@ -0,0 +1,455 @@
+package standin
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"skylarkport/internal/contract"
+	"skylarkport/internal/job"
+	"skylarkport/internal/resource"
+	"skylarkport/internal/result"
+	"skylarkport/internal/settings"
+)
+
+const grant = 10 * time.Second
+
+// owner drives the first worker of a system in virtual time.
+type owner struct {
+	t     *testing.T
+	sys   *System
+	addr  string
+	id    string
+	epoch uint64
+	last  contract.ExchangeReply
+}
+
+// newOwner returns an owner that has asked for the worker's clock.
+func newOwner(t *testing.T, cfg settings.Standin) *owner {
+	t.Helper()
+	sys := New(cfg)
+	o := &owner{t: t, sys: sys, id: sys.workers[0].inst.ID, addr: sys.workers[0].inst.Address, epoch: 5}
+	o.ask()
+	return o
+}
+
+func (o *owner) ask() {
+	o.t.Helper()
+	o.must(contract.ExchangeRequest{Worker: o.id, Epoch: o.epoch})
+}
+
+func (o *owner) send(req contract.ExchangeRequest) (contract.ExchangeReply, error) {
+	return o.sys.Workers(from).Exchange(o.t.Context(), o.addr, req)
+}
+
+func (o *owner) must(req contract.ExchangeRequest) {
+	o.t.Helper()
+	reply, err := o.send(req)
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	o.last = reply
+}
+
+// order sends orders under a grant that counts from the last reply.
+func (o *owner) order(req contract.ExchangeRequest) {
+	o.t.Helper()
+	o.must(o.granted(req))
+}
+
+func (o *owner) granted(req contract.ExchangeRequest) contract.ExchangeRequest {
+	req.Worker, req.Epoch, req.Incarnation = o.id, o.epoch, o.last.Incarnation
+	req.Stamp, req.Grant = o.last.Stamp, job.Duration(grant)
+	return req
+}
+
+// renew renews the grant every two seconds for d.
+func (o *owner) renew(d time.Duration) {
+	o.t.Helper()
+	const every = 2 * time.Second
+	for ; d > 0; d -= every {
+		time.Sleep(min(d, every))
+		o.order(contract.ExchangeRequest{})
+	}
+}
+
+// states renders the runs of the last reply.
+func (o *owner) states() string {
+	var out []string
+	for _, r := range o.last.Runs {
+		s := fmt.Sprintf("%s %s", r.Run, r.State)
+		if r.Reason != "" {
+			s += " " + r.Reason
+		}
+		if r.Checkpoint != 0 {
+			s += fmt.Sprintf(" at %d", r.Checkpoint)
+		}
+		out = append(out, s)
+	}
+	return strings.Join(out, "; ")
+}
+
+func (o *owner) want(states string) {
+	o.t.Helper()
+	if got := o.states(); got != states {
+		o.t.Fatalf("runs: %q, want %q", got, states)
+	}
+}
+
+func runOf(name string, attempt uint32) job.RunID {
+	return job.RunID{Task: job.TaskID{Job: name}, Attempt: attempt}
+}
+
+// batch starts a run that takes 20 s at full speed on half of the worker.
+func batch(id job.RunID) contract.StartOrder {
+	return contract.StartOrder{
+		Run: id, Kind: job.Batch, Family: id.Task.Job, RunTime: job.Duration(20 * time.Second),
+		Commit: resource.Vector{MilliCPU: 2000, MemoryMB: 4000},
+	}
+}
+
+func start(orders ...contract.StartOrder) contract.ExchangeRequest {
+	return contract.ExchangeRequest{Start: orders}
+}
+
+func TestExchangeRefusals(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*contract.ExchangeRequest)
+		code   result.Code
+	}{
+		{"accepted", func(*contract.ExchangeRequest) {}, result.OK},
+		{"same epoch", func(r *contract.ExchangeRequest) { r.Epoch = 5 }, result.OK},
+		{"lower epoch", func(r *contract.ExchangeRequest) { r.Epoch = 4 }, result.WorkerEpoch},
+		{"other incarnation", func(r *contract.ExchangeRequest) { r.Incarnation = "x" }, result.WorkerIncarnation},
+		{"no incarnation", func(r *contract.ExchangeRequest) { r.Incarnation = "" }, result.WorkerIncarnation},
+		{"orders without a stamp", func(r *contract.ExchangeRequest) { r.Stamp = 0 }, result.WorkerStamp},
+		{"stamp of the future", func(r *contract.ExchangeRequest) { r.Stamp += int64(time.Minute) }, result.WorkerStamp},
+		{"grant has passed", func(r *contract.ExchangeRequest) { r.Grant = job.Duration(time.Second) }, result.WorkerStamp},
+		{"another worker", func(r *contract.ExchangeRequest) { r.Worker = "x" }, result.WorkerAway},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := newOwner(t, testSettings())
+				time.Sleep(time.Second)
+				req := o.granted(start(batch(runOf("b", 1))))
+				req.Epoch = 6
+				tt.change(&req)
+				_, err := o.send(req)
+				wantError(t, err, tt.code, contract.Refused)
+				if started := o.sys.Totals().RunsStarted; (started == 1) != (err == nil) {
+					t.Errorf("%d runs started with error %v", started, err)
+				}
+			})
+		})
+	}
+}
+
+// TestRuns drives a worker through one story per case.
+func TestRuns(t *testing.T) {
+	tests := []struct {
+		name  string
+		story func(*owner)
+	}{
+		{"finishes after its units", func(o *owner) {
+			o.order(start(batch(runOf("b", 1))))
+			o.renew(19 * time.Second)
+			o.want("b/0#1 running")
+			o.renew(2 * time.Second)
+			o.want("b/0#1 finished at 2000")
+		}},
+		{"repeated start", func(o *owner) {
+			o.order(start(batch(runOf("b", 1))))
+			o.order(start(batch(runOf("b", 1))))
+			o.want("b/0#1 running")
+		}},
+		{"start after its stop and its forget", func(o *owner) {
+			o.order(start(batch(runOf("b", 1))))
+			o.order(contract.ExchangeRequest{Stop: []contract.StopOrder{{Run: runOf("b", 1)}}})
+			o.want("b/0#1 stopped stopped")
+			o.order(start(batch(runOf("b", 1))))
+			o.want("b/0#1 stopped stopped")
+			o.order(contract.ExchangeRequest{Forget: []job.RunID{runOf("b", 1)}})
+			o.order(start(batch(runOf("b", 1))))
+			o.want("")
+			o.order(start(batch(runOf("b", 2))))
+			o.want("b/0#2 running")
+		}},
+		{"stop comes before the start", func(o *owner) {
+			o.order(contract.ExchangeRequest{Stop: []contract.StopOrder{{Run: runOf("b", 1)}}})
+			o.order(start(batch(runOf("b", 1))))
+			o.want("b/0#1 stopped stopped")
+		}},
+		{"a running run is not forgotten", func(o *owner) {
+			o.order(start(batch(runOf("b", 1))))
+			o.order(contract.ExchangeRequest{Forget: []job.RunID{runOf("b", 1)}})
+			o.order(contract.ExchangeRequest{})
+			o.want("b/0#1 running")
+		}},
+		{"no room", func(o *owner) {
+			o.order(start(batch(runOf("b", 1)), batch(runOf("c", 1)), batch(runOf("d", 1))))
+			o.want("b/0#1 running; c/0#1 running; d/0#1 failed worker-full")
+		}},
+		{"no accelerator left", func(o *owner) {
+			with := func(id job.RunID) contract.StartOrder {
+				s := batch(id)
+				s.Commit = resource.Vector{Accelerators: 1}
+				return s
+			}
+			o.order(start(with(runOf("b", 1)), with(runOf("c", 1))))
+			o.want("b/0#1 running; c/0#1 failed worker-full")
+		}},
+		{"stop makes room in the same exchange", func(o *owner) {
+			o.order(start(batch(runOf("b", 1)), batch(runOf("c", 1))))
+			req := start(batch(runOf("d", 1)))
+			req.Stop = []contract.StopOrder{{Run: runOf("b", 1)}}
+			o.order(req)
+			o.want("b/0#1 stopped stopped; c/0#1 running; d/0#1 running")
+		}},
+		{"a limit that does not fit changes nothing", func(o *owner) {
+			o.order(start(batch(runOf("b", 1)), batch(runOf("c", 1))))
+			o.order(contract.ExchangeRequest{Limit: []contract.LimitOrder{{Run: runOf("b", 1), Commit: resource.Vector{MilliCPU: 2001, MemoryMB: 4000}}}})
+			if got := o.last.Runs[0].Commit.MilliCPU; got != 2000 {
+				o.t.Errorf("commitment %d", got)
+			}
+		}},
+		{"a shrinking limit makes room for a growing one", func(o *owner) {
+			o.order(start(batch(runOf("b", 1)), batch(runOf("c", 1))))
+			o.order(contract.ExchangeRequest{Limit: []contract.LimitOrder{
+				{Run: runOf("b", 1), Commit: resource.Vector{MilliCPU: 3000, MemoryMB: 4000}},
+				{Run: runOf("c", 1), Commit: resource.Vector{MilliCPU: 1000, MemoryMB: 4000}},
+			}})
+			if got := o.last.Runs[0].Commit.MilliCPU; got != 3000 {
+				o.t.Errorf("commitment %d", got)
+			}
+		}},
+		{"a throttled run is slower", func(o *owner) {
+			o.order(start(batch(runOf("b", 1))))
+			o.order(contract.ExchangeRequest{Limit: []contract.LimitOrder{{Run: runOf("b", 1), Commit: resource.Vector{MilliCPU: 500, MemoryMB: 4000}}}})
+			o.renew(21 * time.Second)
+			o.want("b/0#1 running")
+			o.renew(20 * time.Second)
+			o.want("b/0#1 finished at 2000")
+		}},
+		{"checkpoint and resume", func(o *owner) {
+			o.order(start(batch(runOf("b", 1))))
+			time.Sleep(5 * time.Second)
+			o.order(contract.ExchangeRequest{Stop: []contract.StopOrder{{Run: runOf("b", 1), Checkpoint: true}}})
+			o.want("b/0#1 stopped stopped at 500")
+			again := batch(runOf("b", 2))
+			again.Resume = 500
+			o.order(start(again))
+			o.renew(16 * time.Second)
+			o.want("b/0#1 stopped stopped at 500; b/0#2 finished at 2000")
+		}},
+		{"lapse stops every run", func(o *owner) {
+			o.order(start(batch(runOf("b", 1)), batch(runOf("c", 1))))
+			time.Sleep(grant + time.Second)
+			o.ask()
+			o.want("b/0#1 stopped lease-lapsed; c/0#1 stopped lease-lapsed")
+		}},
+		{"a delayed grant is not stretched", func(o *owner) {
+			o.order(start(batch(runOf("b", 1))))
+			late := o.granted(contract.ExchangeRequest{})
+			time.Sleep(grant - time.Second)
+			o.must(late)
+			time.Sleep(2 * time.Second)
+			o.ask()
+			o.want("b/0#1 stopped lease-lapsed")
+		}},
+		{"an ask grants nothing", func(o *owner) {
+			o.order(start(batch(runOf("b", 1))))
+			time.Sleep(grant - time.Second)
+			o.ask()
+			time.Sleep(2 * time.Second)
+			o.ask()
+			o.want("b/0#1 stopped lease-lapsed")
+		}},
+		{"a pause past the grant ends the runs", func(o *owner) {
+			o.order(start(batch(runOf("b", 1))))
+			o.inject(Fault{Kind: Pause, Target: o.id, For: job.Duration(grant + time.Second)})
+			time.Sleep(grant + 2*time.Second)
+			o.ask()
+			o.want("b/0#1 stopped lease-lapsed")
+		}},
+		{"a short pause costs time only", func(o *owner) {
+			o.order(start(batch(runOf("b", 1))))
+			o.inject(Fault{Kind: Pause, Target: o.id, For: job.Duration(5 * time.Second)})
+			time.Sleep(5 * time.Second)
+			o.renew(18 * time.Second)
+			o.want("b/0#1 running")
+			o.renew(4 * time.Second)
+			o.want("b/0#1 finished at 2000")
+		}},
+		{"a restart is a new incarnation", func(o *owner) {
+			o.order(start(batch(runOf("b", 1))))
+			old := o.granted(start(batch(runOf("c", 1))))
+			o.inject(Fault{Kind: Restart, Target: o.id})
+			_, err := o.send(old)
+			wantError(o.t, err, result.WorkerIncarnation, contract.Refused)
+			o.ask()
+			o.want("")
+		}},
+		{"a killed worker is away", func(o *owner) {
+			o.inject(Fault{Kind: Kill, Target: o.id})
+			_, err := o.send(contract.ExchangeRequest{Worker: o.id, Epoch: o.epoch})
+			wantError(o.t, err, result.WorkerAway, contract.Refused)
+		}},
+		{"a higher epoch fences by asking", func(o *owner) {
+			old := o.granted(start(batch(runOf("b", 1))))
+			o.epoch = 6
+			o.ask()
+			_, err := o.send(old)
+			wantError(o.t, err, result.WorkerEpoch, contract.Refused)
+		}},
+		{"images that fail and never end", func(o *owner) {
+			bad, endless := batch(runOf("b", 1)), batch(runOf("c", 1))
+			bad.Image, endless.Image = imageFail, imageNever
+			o.order(start(bad, endless))
+			o.renew(60 * time.Second)
+			o.want("b/0#1 failed failed; c/0#1 running")
+		}},
+		{"a worker that fails everything", func(o *owner) {
+			o.inject(Fault{Kind: FailAll, Target: o.id})
+			o.order(start(batch(runOf("b", 1))))
+			o.renew(time.Second)
+			o.want("b/0#1 failed failed")
+		}},
+		{"an exchange that is taken late", func(o *owner) {
+			o.inject(Fault{Kind: Late, Target: o.id, Delay: job.Duration(time.Minute), Count: 1})
+			_, err := o.send(o.granted(start(batch(runOf("b", 1)))))
+			wantError(o.t, err, result.WorkerAway, contract.Unknown)
+			time.Sleep(time.Minute)
+			o.ask()
+			o.want("")
+		}},
+		{"an answer lost after the start", func(o *owner) {
+			o.inject(Fault{Kind: Lost, Target: "workers", Count: 1})
+			_, err := o.send(o.granted(start(batch(runOf("b", 1)))))
+			wantError(o.t, err, result.WorkerAway, contract.Unknown)
+			o.ask()
+			o.want("b/0#1 running")
+		}},
+		{"another zone is cut off", func(o *owner) {
+			o.inject(Fault{Kind: Cut, From: zone, To: "tokachi"})
+			o.ask()
+			other := o.sys.workers[2].inst
+			_, err := o.sys.Workers(from).Exchange(o.t.Context(), other.Address, contract.ExchangeRequest{Worker: other.ID})
+			wantError(o.t, err, result.WorkerAway, contract.Unknown)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { tt.story(newOwner(t, testSettings())) })
+		})
+	}
+}
+
+func (o *owner) inject(f Fault) {
+	o.t.Helper()
+	if err := o.sys.Inject(f); err != nil {
+		o.t.Fatal(err)
+	}
+}
+
+func TestNeighboursSlowDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := testSettings()
+		cfg.Disturbances = []settings.StandinDisturb{{Victim: "b", Noisy: "c", Slowdown: 1}}
+		o := newOwner(t, cfg)
+		noisy := batch(runOf("c", 1))
+		noisy.RunTime = job.Duration(10 * time.Second)
+		o.order(start(batch(runOf("b", 1)), noisy))
+		o.renew(24 * time.Second)
+		o.want("b/0#1 running; c/0#1 finished at 1000")
+		o.renew(2 * time.Second)
+		o.want("b/0#1 finished at 2000; c/0#1 finished at 1000")
+	})
+}
+
+func TestUsageLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := testSettings()
+		cfg.UsageLag = job.Duration(3 * time.Second)
+		o := newOwner(t, cfg)
+		o.order(start(batch(runOf("b", 1))))
+		if at := o.last.Runs[0].Usage.At; at != 0 {
+			t.Errorf("a measurement of %d without lag", at)
+		}
+		o.renew(8 * time.Second)
+		u := o.last.Runs[0].Usage
+		if age := time.Duration(o.last.Stamp - u.At); age < 3*time.Second || age > 5*time.Second {
+			t.Errorf("the measurement is %v old", age)
+		}
+		if u.Rate != 100 || u.Progress != 400 || u.Used.MilliCPU != 1000 {
+			t.Errorf("usage %+v", u)
+		}
+	})
+}
+
+func TestHistoryOfRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOwner(t, testSettings())
+		o.order(start(batch(runOf("b", 1)), batch(runOf("c", 1)), batch(runOf("d", 1))))
+		time.Sleep(time.Minute)
+		var got []string
+		for _, e := range o.sys.History().Runs {
+			got = append(got, fmt.Sprintf("%s %s %v", e.Run, e.Kind, e.At))
+		}
+		want := "b/0#1 started 0s; c/0#1 started 0s; d/0#1 refused 0s; b/0#1 lapsed 10s; c/0#1 lapsed 10s"
+		if s := strings.Join(got, "; "); s != want {
+			t.Errorf("history %q, want %q", s, want)
+		}
+		m := o.sys.History().Workers[0]
+		if m.Committed.MilliCPU != 4000 || m.Over != 0 {
+			t.Errorf("marks %+v", m)
+		}
+	})
+}
+
+func TestRateLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := testSettings()
+		cfg.WritesPerSec, cfg.ReadsPerSec = 3, 3
+		tables := New(cfg).Tables(from)
+		ctx := t.Context()
+		check := contract.Write{Key: key("a"), If: contract.Always, Do: contract.Check}
+		writes := []contract.Write{put("a", contract.Always, 0, ""), put("b", contract.Always, 0, ""), put("c", contract.Always, 0, "")}
+		for _, want := range []result.Code{result.OK, result.PlatformLimited} {
+			_, err := tables.Commit(ctx, writes)
+			wantError(t, err, want, contract.Refused)
+		}
+		_, err := tables.Commit(ctx, []contract.Write{check})
+		wantError(t, err, result.OK, contract.Refused)
+		for _, want := range []result.Code{result.OK, result.PlatformLimited} {
+			_, err := tables.Scan(ctx, "t", "", "", 10)
+			wantError(t, err, want, contract.Refused)
+		}
+		time.Sleep(time.Second)
+		_, err = tables.Commit(ctx, writes)
+		wantError(t, err, result.OK, contract.Refused)
+		_, err = tables.Read(ctx, key("a"))
+		wantError(t, err, result.OK, contract.Refused)
+	})
+}
+
+func TestListLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := testSettings()
+		cfg.ListLag = job.Duration(5 * time.Second)
+		sys := New(cfg)
+		if err := sys.Mark("e1", Gone); err != nil {
+			t.Fatal(err)
+		}
+		for _, want := range []int{4, 3} {
+			list, err := sys.Instances(from).List(t.Context())
+			if err != nil || len(list) != want {
+				t.Errorf("%d instances, %v, want %d", len(list), err, want)
+			}
+			time.Sleep(6 * time.Second)
+		}
+	})
+}
