History checker, strict settings of the stand-in, verify command

The stand-in's settings load through internal/settings. The URLs of the platform are now without a path.

--- /dev/null
+++ b/internal/history/check_test.go
@@ -0,0 +1,157 @@
+package history
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"skylarkport/internal/job"
+	"skylarkport/internal/resource"
+	"skylarkport/internal/result"
+)
+
+const second = time.Second
+
+func runID(attempt uint32) job.RunID {
+	return job.RunID{Task: job.TaskID{Job: "b"}, Attempt: attempt}
+}
+
+func event(at time.Duration, kind RunEventKind, worker string, attempt uint32) RunEvent {
+	return RunEvent{At: at, Kind: kind, Worker: worker, Incarnation: worker + "#1", Run: runID(attempt), Work: job.Batch}
+}
+
+// good returns an input without a violation: a task that was evicted, resumed
+// and finished, and requests of every kind.
+func good() Input {
+	evicted := event(5*second, RunStopped, "w1", 1)
+	evicted.Checkpoint = 100
+	again := event(6*second, RunStarted, "w2", 2)
+	again.Resume = 100
+	finished := event(9*second, RunFinished, "w2", 2)
+	finished.Checkpoint = 200
+	return Input{
+		Record: Record{
+			Now:  time.Minute,
+			Runs: []RunEvent{event(second, RunStarted, "w1", 1), evicted, again, finished},
+			Executions: []Execution{
+				{RequestID: "r1", Method: "GET", Service: "s", How: Broken},
+				{RequestID: "r1", Method: "GET", Service: "s", How: Completed},
+				{RequestID: "r2", Method: "POST", Service: "s", How: NotRun, LeavingFor: LeavingLimit},
+				{RequestID: "r2", Method: "POST", Service: "s", How: Completed},
+				{RequestID: "r3", Method: "POST", Service: "s", Key: "k", How: Completed},
+			},
+			Workers: []WorkerMarks{{Worker: "w1", Committed: resource.Vector{MilliCPU: 1}, Capacity: resource.Vector{MilliCPU: 1}}},
+		},
+		Calls: []Call{
+			{RequestID: "r1", Idempotent: true, Code: result.OK, Matches: true},
+			{RequestID: "r2", Code: result.OK, Matches: true, Entry: "e1", Sent: 9 * second, Ended: 11 * second},
+			{RequestID: "r3", Key: "k", Code: result.OK, Matches: true},
+			{RequestID: "r4", Key: "k", Code: result.OK, Matches: true},
+			{RequestID: "r5", Code: result.NoUpstream, NotRun: true},
+			{RequestID: "r6", Broken: true, Entry: "e1", Sent: 11 * second, Ended: 12 * second},
+		},
+		Stops: []Stop{{Instance: "e1", At: 10 * second}},
+		Versions: []Version{
+			{"e1", second, 1},
+			{"e1", 10 * second, 1},
+			{"e1", 18 * second, 2},
+		},
+		Acceptances: []Acceptance{{Version: 2, At: 10 * second}},
+		Expect:      []Expect{{Job: "b", Finished: 1}},
+	}
+}
+
+func TestCheck(t *testing.T) {
+	tests := []struct {
+		name  string
+		plant func(*Input)
+		want  []Rule
+	}{
+		{"nothing planted", func(*Input) {}, nil},
+		{"a lost record", func(in *Input) { in.Record.Totals.RecordsDropped = 1 }, []Rule{Complete}},
+		{"a request runs twice", func(in *Input) { in.again(3) }, []Rule{AtMostOnce}},
+		{"a key runs twice under another id", func(in *Input) {
+			in.again(4)
+			in.Record.Executions[5].RequestID = "r4"
+		}, []Rule{AtMostOnce}},
+		{"a request runs twice, once broken off", func(in *Input) {
+			in.again(3)
+			in.Record.Executions[5].How = Broken
+		}, []Rule{AtMostOnce}},
+		{"two runs overlap", func(in *Input) { in.Record.Runs[2].At = 4 * second }, []Rule{OnePlace}},
+		{"the earlier run never ended", func(in *Input) {
+			in.Record.Runs[1].Kind = RunRefused
+			in.Record.Runs[2].Resume = 0
+		}, []Rule{OnePlace}},
+		{"one run starts on two workers", func(in *Input) { in.Record.Runs[2].Run = runID(1) }, []Rule{OnePlace}},
+		{"a run starts again after a restart", func(in *Input) {
+			in.Record.Runs[2].Run = runID(1)
+			in.Record.Runs[2].Incarnation = "w1#2"
+		}, []Rule{OnePlace}},
+		{"attempts go backwards", func(in *Input) {
+			for i := range in.Record.Runs[:2] {
+				in.Record.Runs[i].Run = runID(3)
+			}
+		}, []Rule{ResumedOnce}},
+		{"resumed from the start", func(in *Input) { in.Record.Runs[2].Resume = 0 }, []Rule{ResumedOnce}},
+		{"resumed beyond its checkpoint", func(in *Input) { in.Record.Runs[2].Resume = 101 }, []Rule{ResumedOnce}},
+		{"resumed twice", func(in *Input) {
+			in.start(7 * second)
+		}, []Rule{OnePlace, NothingLost}},
+		{"started after its end", func(in *Input) {
+			in.start(10 * second)
+		}, []Rule{NothingLost}},
+		{"finished twice", func(in *Input) {
+			in.Record.Runs[1].Kind = RunFinished
+		}, []Rule{NothingLost, NothingLost, NothingLost}},
+		{"never finished", func(in *Input) { in.Record.Runs = in.Record.Runs[:3] }, []Rule{NothingLost}},
+		{"never started again", func(in *Input) { in.Record.Runs = in.Record.Runs[:2] }, []Rule{NothingLost}},
+		{"committed beyond the memory", func(in *Input) { in.Record.Workers[0].Committed.MemoryMB = 1 }, []Rule{NoOvercommit}},
+		{"overcommitted for an instant", func(in *Input) { in.Record.Workers[0].Over = 1 }, []Rule{NoOvercommit}},
+		{"a ninth request", func(in *Input) { in.Record.Workers[0].SlotsRefused = 1 }, []Rule{WithinSlots}},
+		{"a 65th connection", func(in *Input) { in.Record.Workers[0].ConnsRefused = 1 }, []Rule{WithinSlots}},
+		{"an answer of another request", func(in *Input) { in.Calls[0].Matches = false }, []Rule{WholeAnswer}},
+		{"an answer that nobody gave", func(in *Input) { in.Record.Executions[1].How = Broken }, []Rule{WholeAnswer}},
+		{"refused as not run, and ran", func(in *Input) {
+			in.Calls[1].Code, in.Calls[1].NotRun = result.NoUpstream, true
+		}, []Rule{NotRunHonest}},
+		{"work for a leaving upstream", func(in *Input) { in.Record.Executions[2].LeavingFor++ }, []Rule{LeavingSpared}},
+		{"a stop breaks a request in flight", func(in *Input) {
+			in.Calls[1].Broken = true
+		}, []Rule{GracefulStop}},
+		{"a stop that fails", func(in *Input) { in.Stops[0].ExitCode = 1 }, []Rule{GracefulStop}},
+		{"a stopped run cuts off a request", func(in *Input) {
+			in.Record.Executions[0].How, in.Record.Executions[0].Run = CutOff, runID(1)
+		}, []Rule{GracefulStop}},
+		{"an instance goes back", func(in *Input) {
+			in.Versions = append(in.Versions, Version{"e1", 17 * second, 1})
+		}, []Rule{BundleInForce}},
+		{"an instance is late", func(in *Input) { in.Versions[2].Version = 1 }, []Rule{BundleInForce}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			in := good()
+			tt.plant(&in)
+			var got []Rule
+			found := Check(in)
+			for _, v := range found {
+				got = append(got, v.Rule)
+			}
+			if fmt.Sprint(got) != fmt.Sprint(tt.want) {
+				t.Errorf("Check() = %v, want %v", found, tt.want)
+			}
+		})
+	}
+}
+
+// again repeats an execution.
+func (in *Input) again(i int) {
+	in.Record.Executions = append(in.Record.Executions, in.Record.Executions[i])
+}
+
+// start starts a third attempt with plausible progress.
+func (in *Input) start(at time.Duration) {
+	third := event(at, RunStarted, "w3", 3)
+	third.Resume = 150
+	in.Record.Runs = append(in.Record.Runs, third)
+}
--- a/internal/standin/history.go
+++ b/internal/history/record.go
@@ -1,7 +1,8 @@
-package standin
+// Package history holds the record of what really happened to runs and requests,
+// and checks it against what must always hold.
+package history
 
 import (
-	"sync"
 	"time"
 
 	"skylarkport/internal/job"
@@ -41,11 +42,11 @@
 
 // The ends of a request.
 const (
-	Completed ExecutionEnd = "completed" // the whole answer was written
-	Broken    ExecutionEnd = "broken"    // a fault on request broke it off
-	CutOff    ExecutionEnd = "cut"       // the run or the worker ended under it
-	NotRun    ExecutionEnd = "not-run"   // refused with the proof of not having run
-	Gone499   ExecutionEnd = "caller"    // the caller closed the connection
+	Completed  ExecutionEnd = "completed" // the whole answer was written
+	Broken     ExecutionEnd = "broken"    // a fault on request broke it off
+	CutOff     ExecutionEnd = "cut"       // the run or the worker ended under it
+	NotRun     ExecutionEnd = "not-run"   // refused with the proof of not having run
+	CallerGone ExecutionEnd = "caller"    // the caller closed the connection
 )
 
 // Execution is one request that reached an upstream.
@@ -92,8 +93,8 @@
 	RecordsDropped   int64 `json:"records_dropped"`
 }
 
-// History is what really happened.
-type History struct {
+// Record is what really happened.
+type Record struct {
 	Now        time.Duration `json:"now_ns"` // since the stand-in started
 	Runs       []RunEvent    `json:"runs"`
 	Executions []Execution   `json:"executions"`
@@ -101,68 +102,8 @@
 	Totals     Totals        `json:"totals"`
 }
 
-// history records events up to a limit per kind.
-type history struct {
-	mu     sync.Mutex
-	limit  int
-	runs   []RunEvent
-	execs  []Execution
-	marks  map[string]*WorkerMarks
-	totals Totals
-}
-
-func newHistory(limit int) *history {
-	return &history{limit: limit, marks: map[string]*WorkerMarks{}}
-}
-
-func (h *history) count(f func(*Totals)) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	f(&h.totals)
-}
-
-func (h *history) run(e RunEvent) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	switch e.Kind {
-	case RunStarted:
-		h.totals.RunsStarted++
-	case RunRefused:
-		h.totals.RunsRefused++
-	default:
-		h.totals.RunsEnded++
-	}
-	if len(h.runs) >= h.limit {
-		h.totals.RecordsDropped++
-		return
-	}
-	h.runs = append(h.runs, e)
-}
-
-func (h *history) execution(e Execution) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.totals.Executions++
-	if len(h.execs) >= h.limit {
-		h.totals.RecordsDropped++
-		return
-	}
-	h.execs = append(h.execs, e)
-}
-
-// mark changes the marks of a worker.
-func (h *history) mark(worker string, f func(*WorkerMarks)) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	m := h.marks[worker]
-	if m == nil {
-		m = &WorkerMarks{Worker: worker}
-		h.marks[worker] = m
-	}
-	f(m)
-}
-
-func (m *WorkerMarks) commit(v, capacity resource.Vector) {
+// Commit notes that v is committed of capacity.
+func (m *WorkerMarks) Commit(v, capacity resource.Vector) {
 	m.Capacity = capacity
 	m.Committed.MilliCPU = max(m.Committed.MilliCPU, v.MilliCPU)
 	m.Committed.MemoryMB = max(m.Committed.MemoryMB, v.MemoryMB)
--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -10,12 +10,14 @@
 	"skylarkport/internal/result"
 )
 
-// Paths below the URL of the table service, and on a worker.
+// Paths of the calls, below the URLs of the settings and a worker's address.
 const (
-	PathRead     = "/read"
-	PathScan     = "/scan"
-	PathCommit   = "/commit"
-	PathExchange = "/v1/exchange"
+	PathRead      = "/v1/tables/read"
+	PathScan      = "/v1/tables/scan"
+	PathCommit    = "/v1/tables/commit"
+	PathObjects   = "/v1/objects"
+	PathInstances = "/v1/instances"
+	PathExchange  = "/v1/exchange"
 )
 
 // ReadRequest is the body of a read.
@@ -105,7 +107,7 @@
 }
 
 func (o objects) url(name string) string {
-	return o.c.cfg.Objects + "/" + url.PathEscape(name)
+	return o.c.cfg.Objects + PathObjects + "/" + url.PathEscape(name)
 }
 
 type instances struct{ c *Client }
@@ -113,7 +115,7 @@
 // List implements contract.Instances.
 func (i instances) List(ctx context.Context) ([]contract.Instance, error) {
 	var reply ListReply
-	err := i.c.callJSON(ctx, platformAway, http.MethodGet, i.c.cfg.Instances, nil, &reply)
+	err := i.c.callJSON(ctx, platformAway, http.MethodGet, i.c.cfg.Instances+PathInstances, nil, &reply)
 	return reply.Instances, err
 }
 
--- a/internal/settings/standin.go
+++ b/internal/settings/standin.go
@@ -1,8 +1,13 @@
 package settings
 
 import (
+	"fmt"
+	"net/netip"
+	"time"
+
 	"skylarkport/internal/job"
 	"skylarkport/internal/resource"
+	"skylarkport/internal/result"
 )
 
 // Standin is the settings of skylark-standin. Every address is on loopback.
@@ -63,3 +68,101 @@
 	Noisy    string  `json:"noisy"`    // family
 	Slowdown float64 `json:"slowdown"` // added per neighbour to a factor that starts at 1
 }
+
+// StandinPlatform names the platform's services as an end of a cut; no
+// availability zone may have this name.
+const StandinPlatform = "platform"
+
+const (
+	maxPort         = 65535
+	maxPerSecond    = 1_000_000
+	maxListLag      = time.Hour
+	maxStandinDrain = time.Hour
+	maxRecords      = 10_000_000
+	maxZoneWorkers  = 10_000
+	portsPerWorker  = 2
+)
+
+// LoadStandin reads and checks the settings of skylark-standin. The error joins
+// every Fault of the file.
+func LoadStandin(file string) (*Standin, error) { return load(file, checkStandin) }
+
+func checkStandin(s *Standin, c *checker) {
+	c.loopback("listen", s.Listen)
+	workers := checkStandinZones(s, c)
+	checkStandinWorkers(&s.Workers, workers, c)
+	checkStandinEntries(s, c)
+	c.duration("list_lag", s.ListLag, 0, maxListLag)
+	c.number("writes_per_sec", s.WritesPerSec, 0, maxPerSecond)
+	c.number("reads_per_sec", s.ReadsPerSec, 0, maxPerSecond)
+	c.duration("call_timeout", s.CallTimeout, minCall, maxCall)
+	c.duration("usage_lag", s.UsageLag, 0, maxListLag)
+	c.duration("stop_drain", s.StopDrain, 0, maxStandinDrain)
+	c.number("history_records", s.HistoryRecords, 1, maxRecords)
+	c.oneOf("log.format", s.Log.Format, "json", "text")
+	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+}
+
+// checkStandinZones returns how many workers there are.
+func checkStandinZones(s *Standin, c *checker) int {
+	total := 0
+	seen := map[string]bool{StandinPlatform: true}
+	for i, z := range s.Zones {
+		at := fmt.Sprintf("zones[%d]", i)
+		c.name(at+".name", z.Name)
+		if seen[z.Name] {
+			c.add(result.SettingsDuplicate, at+".name", "each zone once and none named %q", StandinPlatform)
+		}
+		seen[z.Name] = true
+		c.number(at+".workers", z.Workers, 0, maxZoneWorkers)
+		total += z.Workers
+	}
+	return total
+}
+
+func checkStandinWorkers(w *StandinWorkers, count int, c *checker) {
+	if ip, err := netip.ParseAddr(w.IP); err != nil || !ip.IsLoopback() {
+		c.add(result.SettingsAddress, "workers.ip", "a loopback IP number, not %q", w.IP)
+	}
+	c.number("workers.base_port", w.BasePort, 1, max(1, maxPort-portsPerWorker*count))
+	c.number("workers.rack_size", w.RackSize, 1, maxZoneWorkers)
+	c.number("workers.slots", w.Slots, 1, maxPerSecond)
+	c.number("workers.conns", w.Conns, 1, maxPerSecond)
+	if !w.Capacity.Valid() || w.Capacity.IsZero() {
+		c.add(result.SettingsRange, "workers.capacity", "an amount above zero")
+	}
+}
+
+func checkStandinEntries(s *Standin, c *checker) {
+	seen := map[string]bool{s.Listen: true}
+	for i, e := range s.Entries {
+		at := fmt.Sprintf("entries[%d]", i)
+		c.name(at+".id", e.ID)
+		if !s.hasZone(e.Zone) {
+			c.add(result.SettingsZone, at+".zone", "one of zones, not %q", e.Zone)
+		}
+		c.loopback(at+".entry_peer", e.EntryPeer)
+		c.loopback(at+".scheduler_peer", e.SchedulerPeer)
+		for _, f := range []named{{at + ".id", e.ID}, {at + ".entry_peer", e.EntryPeer}, {at + ".scheduler_peer", e.SchedulerPeer}} {
+			if seen[f.value] {
+				c.add(result.SettingsDuplicate, f.path, "%q once", f.value)
+			}
+			seen[f.value] = true
+		}
+	}
+}
+
+func (s *Standin) hasZone(name string) bool {
+	for _, z := range s.Zones {
+		if z.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *checker) loopback(path, v string) {
+	if a, err := parseAddress(v); err != nil || !a.Addr().IsLoopback() {
+		c.add(result.SettingsAddress, path, "a loopback IP number with a port such as 127.0.0.1:7000, not %q", v)
+	}
+}
--- /dev/null
+++ b/internal/settings/standin_test.go
@@ -0,0 +1,58 @@
+package settings
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"skylarkport/internal/result"
+)
+
+const standinExample = "../../examples/dev/standin.json"
+
+func TestLoadStandin(t *testing.T) {
+	data, err := os.ReadFile(standinExample)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		name     string
+		old, new string
+		want     []wanted
+	}{
+		{"as it is", "", "", nil},
+		{"listens elsewhere", `"127.0.0.1:17000"`, `"10.0.0.1:17000"`, []wanted{{result.SettingsAddress, "listen"}}},
+		{"listens everywhere", `"127.0.0.1:17000"`, `"0.0.0.0:17000"`, []wanted{{result.SettingsAddress, "listen"}}},
+		{"workers elsewhere", `"ip": "127.0.0.1"`, `"ip": "10.0.0.1"`, []wanted{{result.SettingsAddress, "workers.ip"}}},
+		{"peer elsewhere", `"127.0.0.1:17311"`, `"10.0.0.1:17311"`, []wanted{{result.SettingsAddress, "entries[0].entry_peer"}}},
+		{"ports run out", `"base_port": 17100`, `"base_port": 65530`, []wanted{{result.SettingsRange, "workers.base_port"}}},
+		{"no capacity", `"milli_cpu": 32000, "memory_mb": 128000`, `"milli_cpu": 0, "memory_mb": 0`, []wanted{{result.SettingsRange, "workers.capacity"}}},
+		{"zone twice", `"name": "tokachi"`, `"name": "ishikari"`, []wanted{
+			{result.SettingsDuplicate, "zones[1].name"},
+			{result.SettingsZone, "entries[2].zone"},
+			{result.SettingsZone, "entries[3].zone"},
+		}},
+		{"reserved zone", `"name": "tokachi"`, `"name": "platform"`, []wanted{
+			{result.SettingsDuplicate, "zones[1].name"},
+			{result.SettingsZone, "entries[2].zone"},
+			{result.SettingsZone, "entries[3].zone"},
+		}},
+		{"entry twice", `"id": "ishikari-e2"`, `"id": "ishikari-e1"`, []wanted{{result.SettingsDuplicate, "entries[1].id"}}},
+		{"unknown field", `"list_lag"`, `"lag"`, []wanted{{result.SettingsUnknown, "lag"}, {result.SettingsMissing, "list_lag"}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			text := strings.Replace(string(data), tt.old, tt.new, 1)
+			if tt.old != "" && text == string(data) {
+				t.Fatalf("%q is not in the example", tt.old)
+			}
+			file := write(t, text)
+			_, err := LoadStandin(file)
+			if len(tt.want) > 0 {
+				checkFaults(t, file, err, tt.want)
+			} else if err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/internal/standin/command.go
+++ b/internal/standin/command.go
@@ -5,20 +5,22 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"os"
-	"runtime/debug"
 	"syscall"
 
-	"github.com/apex/log"
 	"github.com/google/subcommands"
 	"github.com/oklog/run"
 
+	"skylarkport/internal/history"
+	"skylarkport/internal/obs"
 	"skylarkport/internal/settings"
+	"skylarkport/internal/version"
 )
 
 // Commands returns the commands of skylark-standin.
 func Commands() []subcommands.Command {
-	return []subcommands.Command{&runCommand{}, &checkCommand{}, versionCommand{}}
+	return []subcommands.Command{&runCommand{}, &checkCommand{}, &verifyCommand{}, versionCommand{}}
 }
 
 type runCommand struct{ file string }
@@ -29,11 +31,14 @@
 func (c *runCommand) SetFlags(f *flag.FlagSet) { f.StringVar(&c.file, "settings", "", "settings file") }
 
 func (c *runCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	cfg, err := Load(c.file)
+	cfg, err := settings.LoadStandin(c.file)
 	if err != nil {
 		return failed(err)
 	}
-	if err := runGroup(cfg); err != nil {
+	if err := obs.Setup(os.Stderr, cfg.Log.Format, cfg.Log.Level); err != nil {
+		return failed(err)
+	}
+	if err := runGroup(*cfg); err != nil {
 		return failed(err)
 	}
 	return subcommands.ExitSuccess
@@ -45,9 +50,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.Add(func() error { return New(cfg).Serve(ctx) }, func(error) { cancel() })
 	g.Add(run.SignalHandler(ctx, syscall.SIGINT, syscall.SIGTERM))
-	log.Infof("standin: listening on %s", cfg.Listen)
+	obs.Logger("standin").Infof("listening on %s", cfg.Listen)
 	err := g.Run()
-	if errors.As(err, &run.SignalError{}) || errors.Is(err, run.ErrSignal) {
+	if errors.Is(err, run.ErrSignal) {
 		return nil
 	}
 	return err
@@ -63,13 +68,48 @@
 }
 
 func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	if _, err := Load(c.file); err != nil {
+	if _, err := settings.LoadStandin(c.file); err != nil {
 		return failed(err)
 	}
 	fmt.Println("settings are valid")
 	return subcommands.ExitSuccess
 }
 
+type verifyCommand struct{ url string }
+
+func (*verifyCommand) Name() string     { return "verify" }
+func (*verifyCommand) Synopsis() string { return "check what a running stand-in recorded" }
+func (*verifyCommand) Usage() string    { return "verify -url URL\n" }
+func (c *verifyCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.url, "url", "http://127.0.0.1:17000", "URL of the stand-in")
+}
+
+func (c *verifyCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	record, err := NewAdmin(c.url).History(ctx)
+	if err != nil {
+		return failed(err)
+	}
+	if !report(os.Stdout, record) {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// report prints the counters and every violation.
+func report(w io.Writer, record history.Record) bool {
+	t := record.Totals
+	fmt.Fprintf(w, "runs: %d started, %d ended, %d refused\n", t.RunsStarted, t.RunsEnded, t.RunsRefused)
+	fmt.Fprintf(w, "requests at upstreams: %d\n", t.Executions)
+	fmt.Fprintf(w, "tables: %d commits, %d rows written, %d rows read, %d conflicts\n", t.Commits, t.RowsWritten, t.RowsRead, t.Conflicts)
+	fmt.Fprintf(w, "exchanges: %d, %d refused\n", t.Exchanges, t.ExchangesRefused)
+	found := history.Check(history.Input{Record: record})
+	for _, v := range found {
+		fmt.Fprintf(w, "violation: %s\n", v)
+	}
+	fmt.Fprintf(w, "violations: %d\n", len(found))
+	return len(found) == 0
+}
+
 type versionCommand struct{}
 
 func (versionCommand) Name() string           { return "version" }
@@ -78,11 +118,7 @@
 func (versionCommand) SetFlags(*flag.FlagSet) {}
 
 func (versionCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return subcommands.ExitFailure
-	}
-	fmt.Println("skylark-standin", info.Main.Version)
+	fmt.Println(version.String())
 	return subcommands.ExitSuccess
 }
 
--- a/internal/standin/contract_test.go
+++ b/internal/standin/contract_test.go
@@ -39,7 +39,7 @@
 	srv := httptest.NewServer(sys.Handler())
 	t.Cleanup(srv.Close)
 	c := platform.New(settings.Platform{
-		Tables: srv.URL + PathTables, Objects: srv.URL + PathObjects, Instances: srv.URL + PathInstances,
+		Tables: srv.URL, Objects: srv.URL, Instances: srv.URL,
 		Timeout: job.Duration(time.Minute),
 	}, from)
 	t.Cleanup(c.Close)
--- a/internal/standin/exchange.go
+++ b/internal/standin/exchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"skylarkport/internal/contract"
+	"skylarkport/internal/history"
 	"skylarkport/internal/job"
 	"skylarkport/internal/result"
 )
@@ -25,9 +26,9 @@
 	defer w.mu.Unlock()
 	arrived := w.clock()
 	w.settleLocked()
-	w.sys.hist.count(func(t *Totals) { t.Exchanges++ })
+	w.sys.hist.count(func(t *history.Totals) { t.Exchanges++ })
 	if err := w.acceptLocked(req, arrived); err != nil {
-		w.sys.hist.count(func(t *Totals) { t.ExchangesRefused++ })
+		w.sys.hist.count(func(t *history.Totals) { t.ExchangesRefused++ })
 		return contract.ExchangeReply{}, err
 	}
 	w.epoch = max(w.epoch, req.Epoch)
@@ -97,7 +98,7 @@
 		r.checkpoint = int64(r.progress)
 	}
 	if r.inFlight == 0 {
-		w.endLocked(r, contract.Stopped, reasonStop, RunStopped, w.settled)
+		w.endLocked(r, contract.Stopped, reasonStop, history.RunStopped, w.settled)
 		return
 	}
 	r.stopping = true
@@ -127,13 +128,13 @@
 	if !o.Commit.Valid() || !w.committedLocked().Fits(w.inst.Capacity) {
 		r.state, r.reason = contract.Failed, reasonFull
 		close(r.done)
-		w.recordLocked(r, RunRefused, w.settled)
+		w.recordLocked(r, history.RunRefused, w.settled)
 		return
 	}
 	if _, hit := w.hit(FailAll); hit || o.Image == imageFail {
 		r.failAt = w.settled + failAfter
 	}
-	w.recordLocked(r, RunStarted, w.settled)
+	w.recordLocked(r, history.RunStarted, w.settled)
 	w.markCommittedLocked()
 }
 
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -8,6 +8,7 @@
 
 	"skylarkport/internal/job"
 	"skylarkport/internal/result"
+	"skylarkport/internal/settings"
 )
 
 // Kind is a kind of fault.
@@ -36,7 +37,7 @@
 )
 
 // PlatformZone is the name of the platform's services as an end of a Cut.
-const PlatformZone = "platform"
+const PlatformZone = settings.StandinPlatform
 
 // Fault is a fault on request.
 type Fault struct {
--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"skylarkport/internal/contract"
+	"skylarkport/internal/history"
 	"skylarkport/internal/job"
 	"skylarkport/internal/resource"
 	"skylarkport/internal/settings"
@@ -155,7 +156,7 @@
 func (w *worker) lapseLocked() {
 	for _, id := range w.order {
 		if r := w.runs[id]; !r.state.Final() {
-			w.endLocked(r, contract.Stopped, reasonLapsed, RunLapsed, w.expiry)
+			w.endLocked(r, contract.Stopped, reasonLapsed, history.RunLapsed, w.expiry)
 		}
 	}
 	w.expiry = 0
@@ -231,24 +232,24 @@
 func (w *worker) endDueLocked(r *taskRun, at time.Duration) {
 	switch {
 	case r.failAt > 0:
-		w.endLocked(r, contract.Failed, reasonFault, RunFailed, at)
+		w.endLocked(r, contract.Failed, reasonFault, history.RunFailed, at)
 	case r.stopping:
-		w.endLocked(r, contract.Stopped, reasonStop, RunStopped, at)
+		w.endLocked(r, contract.Stopped, reasonStop, history.RunStopped, at)
 	default:
 		r.progress = float64(r.units)
 		r.checkpoint = r.units
-		w.endLocked(r, contract.Finished, "", RunFinished, at)
+		w.endLocked(r, contract.Finished, "", history.RunFinished, at)
 	}
 }
 
-func (w *worker) endLocked(r *taskRun, state contract.RunState, reason string, kind RunEventKind, at time.Duration) {
+func (w *worker) endLocked(r *taskRun, state contract.RunState, reason string, kind history.RunEventKind, at time.Duration) {
 	r.state, r.reason = state, reason
 	close(r.done)
 	w.recordLocked(r, kind, at)
 }
 
-func (w *worker) recordLocked(r *taskRun, kind RunEventKind, at time.Duration) {
-	w.sys.hist.run(RunEvent{
+func (w *worker) recordLocked(r *taskRun, kind history.RunEventKind, at time.Duration) {
+	w.sys.hist.run(history.RunEvent{
 		At: w.at(at), Kind: kind, Worker: w.inst.ID, Incarnation: w.incarnation, Epoch: w.epoch,
 		Run: r.id, Work: r.order.Kind, Commit: r.commit, Resume: r.order.Resume, Checkpoint: r.checkpoint,
 	})
@@ -256,7 +257,7 @@
 
 func (w *worker) markCommittedLocked() {
 	sum := w.committedLocked()
-	w.sys.hist.mark(w.inst.ID, func(m *WorkerMarks) { m.commit(sum, w.inst.Capacity) })
+	w.sys.hist.mark(w.inst.ID, func(m *history.WorkerMarks) { m.Commit(sum, w.inst.Capacity) })
 }
 
 // armLocked sets the timer to the next time at which something is due.
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -13,16 +13,13 @@
 	"github.com/labstack/echo/v4"
 
 	"skylarkport/internal/contract"
+	"skylarkport/internal/history"
 	"skylarkport/internal/platform"
 	"skylarkport/internal/result"
 )
 
-// Paths of the platform's services and the admin endpoint.
+// Paths of the admin endpoint.
 const (
-	PathTables    = "/v1/tables"
-	PathObjects   = "/v1/objects"
-	PathInstances = "/v1/instances"
-
 	PathHistory = "/admin/history"
 	PathTotals  = "/admin/totals"
 	PathFaults  = "/admin/faults"
@@ -38,13 +35,13 @@
 // Handler returns the platform's services and the admin endpoint.
 func (s *System) Handler() http.Handler {
 	e := echo.New()
-	e.POST(PathTables+platform.PathRead, s.read)
-	e.POST(PathTables+platform.PathScan, s.scan)
-	e.POST(PathTables+platform.PathCommit, s.commit)
-	e.PUT(PathObjects+"/:name", s.putObject)
-	e.GET(PathObjects+"/:name", s.getObject)
-	e.DELETE(PathObjects+"/:name", s.deleteObject)
-	e.GET(PathInstances, s.list)
+	e.POST(platform.PathRead, s.read)
+	e.POST(platform.PathScan, s.scan)
+	e.POST(platform.PathCommit, s.commit)
+	e.PUT(platform.PathObjects+"/:name", s.putObject)
+	e.GET(platform.PathObjects+"/:name", s.getObject)
+	e.DELETE(platform.PathObjects+"/:name", s.deleteObject)
+	e.GET(platform.PathInstances, s.list)
 	e.GET(PathHistory, func(c echo.Context) error { return c.JSON(http.StatusOK, s.History()) })
 	e.GET(PathTotals, func(c echo.Context) error { return c.JSON(http.StatusOK, s.Totals()) })
 	e.POST(PathFaults, s.postFault)
@@ -282,7 +279,7 @@
 		w.conns++
 		over := w.conns > w.inst.Conns
 		n := min(w.conns, w.inst.Conns)
-		w.sys.hist.mark(w.inst.ID, func(m *WorkerMarks) {
+		w.sys.hist.mark(w.inst.ID, func(m *history.WorkerMarks) {
 			m.Conns = max(m.Conns, n)
 			if over {
 				m.ConnsRefused++
--- a/internal/standin/system.go
+++ b/internal/standin/system.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"skylarkport/internal/contract"
+	"skylarkport/internal/history"
 	"skylarkport/internal/job"
 	"skylarkport/internal/platform"
 	"skylarkport/internal/result"
@@ -33,7 +34,7 @@
 	cfg       settings.Standin
 	started   time.Time
 	faults    faultSet
-	hist      *history
+	hist      *recorder
 	tables    *tableStore
 	objects   objectStore
 	instances instanceStore
@@ -45,7 +46,7 @@
 // New returns a system in its first state. It opens no listener.
 func New(cfg settings.Standin) *System {
 	fill(&cfg)
-	hist := newHistory(cfg.HistoryRecords)
+	hist := newRecorder(cfg.HistoryRecords)
 	s := &System{
 		cfg:       cfg,
 		started:   time.Now(),
@@ -163,14 +164,14 @@
 func (s *System) Add(i contract.Instance) { s.instances.add(i, time.Now()) }
 
 // History returns what happened so far.
-func (s *System) History() History {
+func (s *System) History() history.Record {
 	for _, w := range s.workers {
 		w.settle()
 	}
 	h := s.hist
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	out := History{
+	out := history.Record{
 		Now:        s.now(),
 		Runs:       slices.Clone(h.runs),
 		Executions: slices.Clone(h.execs),
@@ -179,12 +180,12 @@
 	for _, m := range h.marks {
 		out.Workers = append(out.Workers, *m)
 	}
-	slices.SortFunc(out.Workers, func(a, b WorkerMarks) int { return strings.Compare(a.Worker, b.Worker) })
+	slices.SortFunc(out.Workers, func(a, b history.WorkerMarks) int { return strings.Compare(a.Worker, b.Worker) })
 	return out
 }
 
 // Totals returns the counters.
-func (s *System) Totals() Totals {
+func (s *System) Totals() history.Totals {
 	s.hist.mu.Lock()
 	defer s.hist.mu.Unlock()
 	return s.hist.totals
--- a/internal/standin/tables.go
+++ b/internal/standin/tables.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"skylarkport/internal/contract"
+	"skylarkport/internal/history"
 	"skylarkport/internal/platform"
 	"skylarkport/internal/result"
 )
@@ -28,10 +29,10 @@
 	order    map[string][]string // rows of a table, ascending
 	writes   *rate.Limiter
 	reads    *rate.Limiter
-	hist     *history
+	hist     *recorder
 }
 
-func newTableStore(writesPerSec, readsPerSec int, hist *history) *tableStore {
+func newTableStore(writesPerSec, readsPerSec int, hist *recorder) *tableStore {
 	return &tableStore{
 		rows:     map[contract.Key]contract.Row{},
 		versions: map[contract.Key]uint64{},
@@ -52,10 +53,10 @@
 
 func (t *tableStore) read(key contract.Key) (contract.Row, error) {
 	if !t.reads.Allow() {
-		t.hist.count(func(c *Totals) { c.ReadsLimited++ })
+		t.hist.count(func(c *history.Totals) { c.ReadsLimited++ })
 		return contract.Row{}, refused(result.PlatformLimited, "reads")
 	}
-	t.hist.count(func(c *Totals) { c.RowsRead++ })
+	t.hist.count(func(c *history.Totals) { c.RowsRead++ })
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row, ok := t.rows[key]
@@ -73,14 +74,14 @@
 		return nil, refused(result.PlatformBad, fmt.Sprintf("limit %d is not in 1..%d", limit, maxScanRows))
 	}
 	if !t.reads.Allow() {
-		t.hist.count(func(c *Totals) { c.ReadsLimited++ })
+		t.hist.count(func(c *history.Totals) { c.ReadsLimited++ })
 		return nil, refused(result.PlatformLimited, "reads")
 	}
 	rows := t.between(table, from, to, limit)
 	if extra := min(len(rows)-1, t.reads.Burst()); extra > 0 {
 		t.reads.ReserveN(time.Now(), extra)
 	}
-	t.hist.count(func(c *Totals) { c.RowsRead += int64(max(1, len(rows))) })
+	t.hist.count(func(c *history.Totals) { c.RowsRead += int64(max(1, len(rows))) })
 	return rows, nil
 }
 
@@ -112,14 +113,14 @@
 		}
 	}
 	if !t.writes.AllowN(time.Now(), cost) {
-		t.hist.count(func(c *Totals) { c.WritesLimited++ })
+		t.hist.count(func(c *history.Totals) { c.WritesLimited++ })
 		return nil, refused(result.PlatformLimited, "writes")
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, w := range writes {
 		if !t.holds(w) {
-			t.hist.count(func(c *Totals) { c.Conflicts++ })
+			t.hist.count(func(c *history.Totals) { c.Conflicts++ })
 			return nil, &contract.CallError{
 				Outcome: contract.Refused, Code: result.PlatformConflict,
 				Detail: w.Key.Table + "/" + w.Key.Row, Row: w.Key,
@@ -130,7 +131,7 @@
 	for i, w := range writes {
 		versions[i] = t.write(w)
 	}
-	t.hist.count(func(c *Totals) { c.Commits++; c.RowsWritten += int64(cost) })
+	t.hist.count(func(c *history.Totals) { c.Commits++; c.RowsWritten += int64(cost) })
 	return versions, nil
 }
 
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"skylarkport/internal/contract"
+	"skylarkport/internal/history"
 	"skylarkport/internal/job"
 	"skylarkport/internal/platform"
 )
@@ -45,7 +46,7 @@
 	worker *worker
 	run    *taskRun
 	boot   int // of the worker
-	exec   Execution
+	exec   history.Execution
 	began  time.Time
 	mode   string
 	delay  time.Duration
@@ -84,7 +85,7 @@
 	defer w.mu.Unlock()
 	w.settleLocked()
 	id := runID(req)
-	s := &serving{worker: w, run: w.runs[id], boot: w.boots, began: time.Now(), exec: Execution{
+	s := &serving{worker: w, run: w.runs[id], boot: w.boots, began: time.Now(), exec: history.Execution{
 		RequestID: req.Header.Get(contract.HeaderRequestID), Key: req.Header.Get(HeaderKey),
 		Method: req.Method, Path: pathBelow(req), Run: id, Worker: w.inst.ID, Start: w.sys.now(),
 	}}
@@ -102,13 +103,13 @@
 		return s, false
 	}
 	if w.slots >= w.inst.Slots {
-		w.sys.hist.mark(w.inst.ID, func(m *WorkerMarks) { m.SlotsRefused++ })
+		w.sys.hist.mark(w.inst.ID, func(m *history.WorkerMarks) { m.SlotsRefused++ })
 		return s, false
 	}
 	w.slots++
 	s.run.inFlight++
 	slots := w.slots
-	w.sys.hist.mark(w.inst.ID, func(m *WorkerMarks) { m.Slots = max(m.Slots, slots) })
+	w.sys.hist.mark(w.inst.ID, func(m *history.WorkerMarks) { m.Slots = max(m.Slots, slots) })
 	s.delay += time.Duration(float64(s.run.family.ServiceTime) * w.slowdownLocked(s.run))
 	return s, true
 }
@@ -154,7 +155,7 @@
 }
 
 func (s *serving) refuse(rw http.ResponseWriter) {
-	s.exec.How = NotRun
+	s.exec.How = history.NotRun
 	s.record()
 	s.setHeaders(rw.Header())
 	rw.Header().Set(contract.HeaderNotRun, "1")
@@ -164,16 +165,16 @@
 func (s *serving) execute(rw http.ResponseWriter, req *http.Request) {
 	defer s.record()
 	defer s.release()
-	s.exec.How = CutOff
+	s.exec.How = history.CutOff
 	sum := sha256.New()
 	n, err := io.Copy(sum, io.LimitReader(req.Body, platform.MaxBodyBytes))
 	if err != nil {
-		s.exec.How = Gone499
+		s.exec.How = history.CallerGone
 		panic(http.ErrAbortHandler)
 	}
 	s.work(req.Context())
 	if s.mode == "fail" {
-		s.exec.How = Broken
+		s.exec.How = history.Broken
 		panic(http.ErrAbortHandler)
 	}
 	body, _ := json.Marshal(Answer{
@@ -192,7 +193,7 @@
 	select {
 	case <-t.C:
 	case <-ctx.Done():
-		s.exec.How = Gone499
+		s.exec.How = history.CallerGone
 		panic(http.ErrAbortHandler)
 	case <-s.run.done:
 		panic(http.ErrAbortHandler)
@@ -212,16 +213,16 @@
 	rw.Header().Set("Content-Type", "application/json")
 	rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if s.mode == "break" {
-		s.exec.How = Broken
+		s.exec.How = history.Broken
 		_, _ = rw.Write(body[:len(body)/2])
 		_ = http.NewResponseController(rw).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	if _, err := rw.Write(body); err != nil {
-		s.exec.How = Gone499
+		s.exec.How = history.CallerGone
 		return
 	}
-	s.exec.How = Completed
+	s.exec.How = history.Completed
 }
 
 func (s *serving) release() {
@@ -241,7 +242,7 @@
 	if s.run.stopping && s.run.inFlight == 0 {
 		w.settleLocked()
 		if !s.run.state.Final() {
-			w.endLocked(s.run, contract.Stopped, reasonStop, RunStopped, w.settled)
+			w.endLocked(s.run, contract.Stopped, reasonStop, history.RunStopped, w.settled)
 		}
 		w.armLocked()
 	}
--- a/internal/standin/upstream_test.go
+++ b/internal/standin/upstream_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"skylarkport/internal/contract"
+	"skylarkport/internal/history"
 	"skylarkport/internal/job"
 	"skylarkport/internal/resource"
 )
@@ -68,19 +69,19 @@
 		path   string
 		status int // zero for a broken connection before the answer
 		whole  bool
-		how    ExecutionEnd
+		how    history.ExecutionEnd
 	}{
-		{"answer", Fault{}, "/runs/teiki/0/1/a/b?c=d", 200, true, Completed},
-		{"large answer", Fault{}, "/runs/teiki/0/1/a/b?standin_size=100000", 200, true, Completed},
-		{"refused", Fault{}, "/runs/teiki/0/1/?standin_mode=refuse", 503, true, NotRun},
-		{"fails", Fault{}, "/runs/teiki/0/1/?standin_mode=fail", 0, false, Broken},
-		{"breaks", Fault{}, "/runs/teiki/0/1/?standin_mode=break", 200, false, Broken},
-		{"no such run", Fault{}, "/runs/teiki/0/2/", 503, true, NotRun},
-		{"refused by fault", Fault{Kind: UpstreamRefuse, Target: "workers"}, "/runs/teiki/0/1/", 503, true, NotRun},
-		{"fails by fault", Fault{Kind: UpstreamFail, Target: "workers"}, "/runs/teiki/0/1/", 0, false, Broken},
-		{"breaks by fault", Fault{Kind: UpstreamBreak, Target: "ishikari-w000"}, "/runs/teiki/0/1/", 200, false, Broken},
-		{"fault elsewhere", Fault{Kind: UpstreamBreak, Target: "ishikari-w001"}, "/runs/teiki/0/1/", 200, true, Completed},
-		{"leaving", Fault{Kind: Leave, Target: "ishikari-w000"}, "/runs/teiki/0/1/", 200, true, Completed},
+		{"answer", Fault{}, "/runs/teiki/0/1/a/b?c=d", 200, true, history.Completed},
+		{"large answer", Fault{}, "/runs/teiki/0/1/a/b?standin_size=100000", 200, true, history.Completed},
+		{"refused", Fault{}, "/runs/teiki/0/1/?standin_mode=refuse", 503, true, history.NotRun},
+		{"fails", Fault{}, "/runs/teiki/0/1/?standin_mode=fail", 0, false, history.Broken},
+		{"breaks", Fault{}, "/runs/teiki/0/1/?standin_mode=break", 200, false, history.Broken},
+		{"no such run", Fault{}, "/runs/teiki/0/2/", 503, true, history.NotRun},
+		{"refused by fault", Fault{Kind: UpstreamRefuse, Target: "workers"}, "/runs/teiki/0/1/", 503, true, history.NotRun},
+		{"fails by fault", Fault{Kind: UpstreamFail, Target: "workers"}, "/runs/teiki/0/1/", 0, false, history.Broken},
+		{"breaks by fault", Fault{Kind: UpstreamBreak, Target: "ishikari-w000"}, "/runs/teiki/0/1/", 200, false, history.Broken},
+		{"fault elsewhere", Fault{Kind: UpstreamBreak, Target: "ishikari-w001"}, "/runs/teiki/0/1/", 200, true, history.Completed},
+		{"leaving", Fault{Kind: Leave, Target: "ishikari-w000"}, "/runs/teiki/0/1/", 200, true, history.Completed},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -100,7 +101,7 @@
 			if resp == nil {
 				return
 			}
-			if got := resp.Header.Get(contract.HeaderNotRun) != ""; got != (tt.how == NotRun) {
+			if got := resp.Header.Get(contract.HeaderNotRun) != ""; got != (tt.how == history.NotRun) {
 				t.Errorf("not-run header %v", got)
 			}
 			if got := resp.Header.Get(contract.HeaderLeaving) != ""; got != (tt.fault.Kind == Leave) {
@@ -164,7 +165,7 @@
 	}
 	srv.Close()
 	events := sys.History().Runs
-	if last := events[len(events)-1]; last.Kind != RunStopped {
+	if last := events[len(events)-1]; last.Kind != history.RunStopped {
 		t.Errorf("last event %+v", last)
 	}
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"skylarkport/internal/contract"
+	"skylarkport/internal/history"
 	"skylarkport/internal/job"
 	"skylarkport/internal/platform"
 	"skylarkport/internal/resource"
@@ -128,7 +129,7 @@
 	now := min(w.clock(), w.frozenLocked())
 	for _, id := range w.order {
 		if r := w.runs[id]; !r.state.Final() {
-			w.endLocked(r, contract.Stopped, "worker died", RunLost, now)
+			w.endLocked(r, contract.Stopped, "worker died", history.RunLost, now)
 		}
 	}
 	if w.paused != nil {
