--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -13,6 +13,7 @@
 
 	"skylarkport/internal/bundle"
 	"skylarkport/internal/contract"
+	"skylarkport/internal/history"
 	"skylarkport/internal/job"
 	"skylarkport/internal/platform"
 	"skylarkport/internal/resource"
@@ -180,14 +181,14 @@
 			w.t.Errorf("worker %s was over its capacity %d times: %+v", m.Worker, m.Over, m.Committed)
 		}
 	}
-	live := map[job.TaskID]standin.RunEvent{}
+	live := map[job.TaskID]history.RunEvent{}
 	saved := map[job.TaskID]int64{}
 	attempts := map[job.RunID]int{}
 	finished := map[job.TaskID]int{}
 	for _, e := range h.Runs {
 		id := e.Run.Task
 		switch e.Kind {
-		case standin.RunStarted:
+		case history.RunStarted:
 			if other, ok := live[id]; ok {
 				w.t.Errorf("%v: %s started on %s while %s runs on %s", e.At, e.Run, e.Worker, other.Run, other.Worker)
 			}
@@ -198,12 +199,12 @@
 				w.t.Errorf("%s resumed from %d, saved %d", e.Run, e.Resume, saved[id])
 			}
 			live[id] = e
-		case standin.RunRefused:
+		case history.RunRefused:
 			w.t.Errorf("%s was refused by %s: no room", e.Run, e.Worker)
 		default:
 			delete(live, id)
 			saved[id] = max(saved[id], e.Checkpoint)
-			if e.Kind == standin.RunFinished {
+			if e.Kind == history.RunFinished {
 				if finished[id]++; finished[id] > 1 {
 					w.t.Errorf("%s finished %d times", id, finished[id])
 				}
