make chaos: real programs, faults, and the history checked

Cause: what must always hold is to be shown on whole processes. It has not run yet: the programs are not there.

--- a/Makefile
+++ b/Makefile
@@ -13,12 +13,20 @@
 	$(GO) test -race ./...
 
 fmt:
-	$(GO) tool gofumpt -w cmd internal
+	$(GO) tool gofumpt -w cmd internal test
 
 lint:
-	@out=$$($(GO) tool gofumpt -l cmd internal); if [ -n "$$out" ]; then echo "not formatted: $$out"; exit 1; fi
+	@out=$$($(GO) tool gofumpt -l cmd internal test); if [ -n "$$out" ]; then echo "not formatted: $$out"; exit 1; fi
 	$(GO) vet ./...
+	$(GO) vet -tags chaos ./test/...
 	$(GO) tool staticcheck ./...
+	$(GO) tool staticcheck -tags chaos ./test/...
 
 demo: build
 	bash scripts/demo.sh
+
+# make chaos CASE=worker-killed SEED=7 replays one case.
+CASE ?=
+SEED ?= 1
+chaos: build
+	CHAOS_SEED=$(SEED) $(GO) test -tags chaos -count=1 -parallel 4 -timeout 55s -run '^TestChaos$$/^$(CASE)' ./test/chaos
--- /dev/null
+++ b/test/chaos/chaos_test.go
@@ -0,0 +1,223 @@
+//go:build chaos
+
+package chaos
+
+import (
+	"os"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"skylarkport/internal/contract"
+	"skylarkport/internal/history"
+	"skylarkport/internal/job"
+	"skylarkport/internal/operator/api"
+	"skylarkport/internal/resource"
+	"skylarkport/internal/result"
+	"skylarkport/internal/standin"
+)
+
+const (
+	batchTasks   = 12
+	replicas     = 9
+	settle       = 500 * time.Millisecond // of load before the fault
+	finishWait   = 30 * time.Second
+	leastAnswers = 50 // of a case, so that its rules are held against something
+)
+
+// scene is a case in progress.
+type scene struct {
+	*cluster
+	stops []history.Stop
+}
+
+// chaosCase is one fault story.
+type chaosCase struct {
+	name  string
+	story func(*scene)
+}
+
+func seed(t *testing.T) uint64 {
+	t.Helper()
+	v := os.Getenv("CHAOS_SEED")
+	if v == "" {
+		return 1
+	}
+	s, err := strconv.ParseUint(v, 10, 64)
+	if err != nil {
+		t.Fatalf("CHAOS_SEED: %v", err)
+	}
+	return s
+}
+
+func TestChaos(t *testing.T) {
+	s := seed(t)
+	for i, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			t.Cleanup(func() {
+				if t.Failed() {
+					t.Logf("replay: make chaos CASE=%s SEED=%d", c.name, s)
+				}
+			})
+			runCase(t, c, i, s)
+		})
+	}
+}
+
+// runCase runs a service, a watch and a batch under load through the story, and
+// checks the history.
+func runCase(t *testing.T, c chaosCase, index int, seed uint64) {
+	s := &scene{cluster: newCluster(t, index, seed)}
+	needs := resource.Vector{MilliCPU: 1000, MemoryMB: 1000}
+	s.submit(job.Spec{ID: service, Tenant: tenant, Kind: job.Service, Family: "lookup", Priority: 80, Tasks: replicas, Needs: needs, Target: job.Duration(50 * time.Millisecond)})
+	s.submit(job.Spec{ID: "feeds", Tenant: tenant, Kind: job.Watch, Family: "feeds", Tasks: 3, Needs: needs})
+	s.until("the service runs", startWait, func() bool { return s.count(service, api.TaskRunning) == replicas })
+	callers := startCallers(s.cluster)
+	s.submit(job.Spec{ID: "valuation", Tenant: tenant, Kind: job.Batch, Family: "valuation", Tasks: batchTasks, Needs: needs, RunTime: seconds(2), Retries: 5})
+	time.Sleep(settle)
+	c.story(s)
+	s.until("the batch ends", finishWait, func() bool { return s.count("valuation", api.TaskFinished) == batchTasks })
+	s.until("the service is whole", finishWait, func() bool { return s.count(service, api.TaskRunning) == replicas })
+	calls := callers.stop()
+	record, err := s.admin.History(s.ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range history.Check(history.Input{
+		Record: record, Calls: calls, Stops: s.stops,
+		Expect: []history.Expect{{Job: "valuation", Finished: batchTasks}},
+	}) {
+		t.Error(v)
+	}
+	summarize(t, record, calls)
+}
+
+func summarize(t *testing.T, record history.Record, calls []history.Call) {
+	t.Helper()
+	codes := map[result.Code]int{}
+	for _, c := range calls {
+		codes[c.Code]++
+	}
+	if codes[result.OK] < leastAnswers {
+		t.Errorf("%d requests were answered, at least %d are needed", codes[result.OK], leastAnswers)
+	}
+	t.Logf("calls by code %v; %d runs, %d executions, %d commits", codes, record.Totals.RunsStarted, record.Totals.Executions, record.Totals.Commits)
+}
+
+var cases = []chaosCase{
+	{"worker-killed", func(s *scene) {
+		for range 2 {
+			s.inject(standin.Fault{Kind: standin.Kill, Target: s.anyWorker()})
+		}
+	}},
+	{"worker-restarted-twice", func(s *scene) {
+		w := s.anyWorker()
+		for range 2 {
+			s.inject(standin.Fault{Kind: standin.Restart, Target: w, Delay: job.Duration(200 * time.Millisecond)})
+			time.Sleep(time.Second)
+		}
+	}},
+	{"worker-paused", func(s *scene) {
+		s.inject(standin.Fault{Kind: standin.Pause, Target: s.anyWorker(), For: seconds(5)})
+		time.Sleep(5 * time.Second)
+	}},
+	{"scheduler-killed", func(s *scene) {
+		n := s.anyNode()
+		n.scheduler.kill()
+		time.Sleep(time.Second)
+		n.scheduler.start(s.t)
+	}},
+	{"entry-killed", func(s *scene) {
+		n := s.anyNode()
+		n.entry.kill()
+		time.Sleep(time.Second)
+		n.entry.start(s.t)
+	}},
+	{"entry-stopped", func(s *scene) {
+		for range 2 {
+			n := s.anyNode()
+			stop := history.Stop{Instance: n.id, At: s.now()}
+			n.entry.signal(syscall.SIGTERM)
+			stop.ExitCode = n.entry.exit()
+			s.stops = append(s.stops, stop)
+			n.entry.start(s.t)
+			s.until("the entry is back", startWait, func() bool { return ready(s.ctx, n.entryURL) })
+		}
+	}},
+	{"tables-down", func(s *scene) {
+		s.inject(standin.Fault{Kind: standin.Down, Target: "tables", For: seconds(10)})
+		time.Sleep(10 * time.Second)
+		s.noneLapsed()
+	}},
+	{"answers-lost", func(s *scene) {
+		for range 5 {
+			s.inject(standin.Fault{Kind: standin.Lost, Target: "tables", Count: 3})
+			s.inject(standin.Fault{Kind: standin.Lost, Target: "workers", Count: 3})
+			time.Sleep(300 * time.Millisecond)
+		}
+	}},
+	{"zone-cut-from-platform", func(s *scene) {
+		z := zones[s.rand.IntN(len(zones))].name
+		s.inject(standin.Fault{Kind: standin.Cut, From: z, To: standin.PlatformZone, For: seconds(6)})
+		time.Sleep(6 * time.Second)
+		s.noneLapsed()
+	}},
+	{"upstream-leaving", func(s *scene) {
+		w := s.workerOf(service)
+		if err := s.admin.Mark(s.ctx, w, contract.Leaving); err != nil {
+			s.t.Fatal(err)
+		}
+		time.Sleep(6 * time.Second)
+	}},
+	{"answers-broken-keys-retried", func(s *scene) {
+		s.inject(standin.Fault{Kind: standin.UpstreamFail, Target: "workers", Count: 60})
+		s.inject(standin.Fault{Kind: standin.UpstreamBreak, Target: "workers", Count: 60})
+		time.Sleep(3 * time.Second)
+	}},
+	{"scheduler-killed-tables-down", func(s *scene) {
+		s.inject(standin.Fault{Kind: standin.Down, Target: "tables", For: seconds(4)})
+		n := s.anyNode()
+		n.scheduler.kill()
+		time.Sleep(5 * time.Second)
+		n.scheduler.start(s.t)
+	}},
+}
+
+func (s *scene) anyNode() *node { return s.nodes[s.rand.IntN(len(s.nodes))] }
+
+func (s *scene) anyWorker() string {
+	z := zones[s.rand.IntN(len(zones))].name
+	return z + "-w00" + strconv.Itoa(s.rand.IntN(workersPerZone))
+}
+
+// workerOf returns a worker that runs a task of the job.
+func (s *scene) workerOf(id string) string {
+	s.t.Helper()
+	var j api.Job
+	if err := s.operators().Get(s.ctx, api.PathJobs+"/"+id, nil, &j); err != nil {
+		s.t.Fatal(err)
+	}
+	for _, task := range j.Tasks {
+		if task.State == api.TaskRunning {
+			return task.Worker
+		}
+	}
+	s.t.Fatalf("%s runs nowhere", id)
+	return ""
+}
+
+// noneLapsed fails the test when a lease ended.
+func (s *scene) noneLapsed() {
+	s.t.Helper()
+	record, err := s.admin.History(s.ctx)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	for _, e := range record.Runs {
+		if e.Kind == history.RunLapsed {
+			s.t.Errorf("%s lapsed on %s at %v", e.Run, e.Worker, e.At)
+		}
+	}
+}
