Membership: heartbeats, rosters between zones, calls and attached values

Cause: equal instances need to know their live peers without a coordinator. Change: internal/member implements Group: full heartbeats in a zone, two targets per other zone by rendezvous hashing, rosters for the rest, refused connections as proof of death, damping, farewell, seeds for a list that is away.

--- /dev/null
+++ b/internal/member/call.go
@@ -0,0 +1,51 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"skylarkport/internal/link"
+	"skylarkport/internal/result"
+)
+
+// callTimeout bounds a call whose context has no deadline.
+const callTimeout = 5 * time.Second
+
+// Call implements Group. It may call any peer of the view, also one of another
+// zone that this process does not beat.
+func (m *Members) Call(ctx context.Context, peerID, method string, params, reply any) error {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+	}
+	c, err := m.connect(ctx, peerID)
+	if err != nil {
+		return err
+	}
+	return c.Call(ctx, method, params, reply)
+}
+
+// connect returns an open connection to the peer.
+func (m *Members) connect(ctx context.Context, peerID string) (*link.Conn, error) {
+	m.mu.Lock()
+	p := m.peers[peerID]
+	if p == nil {
+		m.mu.Unlock()
+		return nil, result.Errorf(result.PeerUnknown, "%q", peerID)
+	}
+	p.usedAt = m.now()
+	c, address := p.conn(), p.Address
+	m.mu.Unlock()
+	if c != nil {
+		return c, nil
+	}
+	c, err := m.endpoint.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	if got := c.Peer(); IDOf(got.Instance, Program(got.Program)) != peerID {
+		return nil, result.Errorf(result.PeerAway, "another process answers at %s", address)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/member/members_test.go
@@ -0,0 +1,472 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"skylarkport/internal/contract"
+	"skylarkport/internal/link"
+	"skylarkport/internal/result"
+	"skylarkport/internal/settings"
+)
+
+// fleet is a deployment in memory.
+type fleet struct {
+	t     *testing.T
+	net   *memNet
+	list  *fakeList
+	procs map[string]*proc
+	keys  map[string]*link.Keys
+	beat  time.Duration
+}
+
+type proc struct {
+	*Members
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// fakeList is the platform's list.
+type fakeList struct {
+	mu        sync.Mutex
+	instances []contract.Instance
+	away      bool
+}
+
+func (l *fakeList) List(context.Context) ([]contract.Instance, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.away {
+		return nil, &contract.CallError{Code: result.PlatformRefused, Detail: "away"}
+	}
+	return slices.Clone(l.instances), nil
+}
+
+func (l *fakeList) set(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f()
+}
+
+var programs = []Program{Entry, Scheduler}
+
+// newFleet lists zones times perZone instances and starts both programs of each.
+func newFleet(t *testing.T, zones, perZone int) *fleet {
+	f := &fleet{
+		t:     t,
+		net:   newNet(1500 * time.Microsecond),
+		list:  &fakeList{},
+		procs: map[string]*proc{},
+		keys:  map[string]*link.Keys{},
+		beat:  DefaultHeartbeat,
+	}
+	for z := range zones {
+		for i := range perZone {
+			f.list.instances = append(f.list.instances, instance(z, i))
+		}
+	}
+	return f
+}
+
+func (f *fleet) startAll() {
+	for _, i := range f.list.instances {
+		for _, p := range programs {
+			f.start(i, p, nil)
+		}
+	}
+}
+
+func instance(zone, i int) contract.Instance {
+	id := fmt.Sprintf("z%d-%d", zone, i)
+	return contract.Instance{
+		ID: id, Role: contract.EntryRole, Zone: fmt.Sprintf("z%d", zone), State: contract.Live,
+		EntryPeer: IDOf(id, Entry), SchedulerPeer: IDOf(id, Scheduler),
+	}
+}
+
+// start runs a process until the test ends or it is stopped.
+func (f *fleet) start(i contract.Instance, program Program, change func(*Config)) *proc {
+	f.t.Helper()
+	id := IDOf(i.ID, program)
+	cfg := Config{
+		Deployment: "dosanko", Instance: i.ID, Program: program, Zone: i.Zone, Address: id,
+		Heartbeat: f.beat, Instances: f.list, Transport: host{f.net, id}, Keys: f.keys[id],
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	m, err := New(cfg)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	m.Attach("zone", func() any { return cfg.Zone })
+	ctx, cancel := context.WithCancel(f.t.Context())
+	p := &proc{Members: m, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(p.done)
+		if err := m.Run(ctx); err != nil {
+			f.t.Error(err)
+		}
+	}()
+	f.t.Cleanup(func() { cancel(); <-p.done })
+	f.procs[id] = p
+	return p
+}
+
+// kill ends a process without a farewell.
+func (f *fleet) kill(id string) {
+	f.net.kill(id)
+	p := f.procs[id]
+	delete(f.procs, id)
+	p.cancel()
+	<-p.done
+}
+
+func (f *fleet) addresses(zone string) []string {
+	var out []string
+	for id, p := range f.procs {
+		if p.Self().Zone == zone {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func stateOf(v *View, id string) State {
+	for _, p := range v.Peers {
+		if p.ID == id {
+			return p.State
+		}
+	}
+	return ""
+}
+
+// seen counts the states in which the processes matching who see id.
+func (f *fleet) seen(id string, who func(Peer) bool) map[State]int {
+	out := map[State]int{}
+	for _, p := range f.procs {
+		if p.Self().ID != id && who(p.Self()) {
+			out[stateOf(p.View(), id)]++
+		}
+	}
+	return out
+}
+
+func inZone(zone string) func(Peer) bool    { return func(p Peer) bool { return p.Zone == zone } }
+func notInZone(zone string) func(Peer) bool { return func(p Peer) bool { return p.Zone != zone } }
+func anyone(Peer) bool                      { return true }
+
+// wantOnly fails unless everyone matching who sees id in state.
+func (f *fleet) wantOnly(when, id string, state State, who func(Peer) bool) {
+	f.t.Helper()
+	got := f.seen(id, who)
+	if len(got) != 1 || got[state] == 0 {
+		f.t.Errorf("%s: %s is seen as %v, want only %s", when, id, got, state)
+	}
+}
+
+func (f *fleet) wantAllAlive(when string) {
+	f.t.Helper()
+	for id, p := range f.procs {
+		if p.leaving.Load() {
+			continue
+		}
+		f.wantOnly(when, id, Alive, anyone)
+	}
+}
+
+// run runs body in virtual time.
+func run(t *testing.T, zones, perZone int, body func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, zones, perZone)
+		f.startAll()
+		time.Sleep(10 * time.Second)
+		f.wantAllAlive("after the start")
+		if !t.Failed() {
+			body(f)
+		}
+	})
+}
+
+// TestDetection checks when each kind of loss is known, in the zone and beyond.
+func TestDetection(t *testing.T) {
+	const victim = "z0-0/scheduler"
+	all := func(f *fleet) []string { return slices.Concat(f.addresses("z0"), f.addresses("z1"), f.addresses("z2")) }
+	tests := []struct {
+		name      string
+		lose      func(f *fleet)
+		inZone    time.Duration // all of the zone know by then
+		elsewhere time.Duration // all know by then
+		want      State
+	}{
+		{"killed", func(f *fleet) { f.kill(victim) }, time.Second, 6 * time.Second, Dead},
+		{"silent", func(f *fleet) { f.net.setBoth(true, []string{victim}, all(f)) }, 2500 * time.Millisecond, 10 * time.Second, Dead},
+		{"not heard", func(f *fleet) { f.net.set(true, []string{victim}, all(f)) }, 2500 * time.Millisecond, 10 * time.Second, Dead},
+		{"leaving", func(f *fleet) { f.procs[victim].Leave() }, 500 * time.Millisecond, 5 * time.Second, Leaving},
+		{"gone", func(f *fleet) { f.procs[victim].cancel(); <-f.procs[victim].done; delete(f.procs, victim) }, 500 * time.Millisecond, 5 * time.Second, Dead},
+		{"listed as leaving", func(f *fleet) {
+			f.list.set(func() { f.list.instances[0].State = contract.Leaving })
+		}, 15 * time.Second, 15 * time.Second, Leaving},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			run(t, 3, 2, func(f *fleet) {
+				began := time.Now()
+				tt.lose(f)
+				time.Sleep(tt.inZone - time.Since(began))
+				f.wantOnly("in the zone", victim, tt.want, inZone("z0"))
+				time.Sleep(tt.elsewhere - time.Since(began))
+				f.wantOnly("elsewhere", victim, tt.want, notInZone("z0"))
+				f.wantOnly("the other program", "z0-1/entry", Alive, func(p Peer) bool { return p.ID != victim })
+			})
+		})
+	}
+}
+
+// TestOneWayCut checks that both sides of a one-way cut stop trusting each other,
+// and do again after it is healed.
+func TestOneWayCut(t *testing.T) {
+	const a, b = "z0-0/entry", "z0-1/entry"
+	run(t, 1, 3, func(f *fleet) {
+		f.net.set(true, []string{a}, []string{b})
+		time.Sleep(4 * time.Second)
+		f.wantOnly("unheard", a, Dead, func(p Peer) bool { return p.ID == b })
+		if s := stateOf(f.procs[a].View(), b); s == Alive || s == Leaving {
+			t.Errorf("the cut side sees the other as %s", s)
+		}
+		f.wantOnly("a third", a, Alive, func(p Peer) bool { return p.ID != b })
+		f.net.set(false, []string{a}, []string{b})
+		time.Sleep(12 * time.Second)
+		f.wantAllAlive("healed")
+	})
+}
+
+// TestZoneCut checks that a zone that is cut off is known to be, keeps its own
+// view, and is found again.
+func TestZoneCut(t *testing.T) {
+	run(t, 3, 2, func(f *fleet) {
+		cut, rest := f.addresses("z2"), slices.Concat(f.addresses("z0"), f.addresses("z1"))
+		f.net.setBoth(true, cut, rest)
+		time.Sleep(20 * time.Second)
+		for _, id := range cut {
+			if n := f.seen(id, notInZone("z2"))[Alive]; n > 0 {
+				t.Errorf("%d processes see %s alive across the cut", n, id)
+			}
+			f.wantOnly("inside", id, Alive, inZone("z2"))
+		}
+		f.net.setBoth(false, cut, rest)
+		time.Sleep(40 * time.Second)
+		f.wantAllAlive("healed")
+	})
+}
+
+// TestRestart checks that a replaced process shows its new incarnation.
+func TestRestart(t *testing.T) {
+	const id = "z0-0/entry"
+	run(t, 2, 2, func(f *fleet) {
+		old := f.procs[id].Self().Incarnation
+		f.kill(id)
+		p := f.start(instance(0, 0), Entry, nil)
+		time.Sleep(10 * time.Second)
+		f.wantOnly("restarted", id, Alive, anyone)
+		for _, q := range f.procs {
+			for _, seen := range q.View().Peers {
+				if seen.ID == id && seen.Incarnation != p.Self().Incarnation {
+					t.Errorf("%s sees incarnation %q, old %q, new %q", q.Self().ID, seen.Incarnation, old, p.Self().Incarnation)
+				}
+			}
+		}
+	})
+}
+
+// TestNewcomer checks that a process that the list does not hold is learned, with
+// the list lagging or away.
+func TestNewcomer(t *testing.T) {
+	tests := []struct {
+		name   string
+		before func(l *fakeList)
+		change func(*Config)
+	}{
+		{"list lags", func(*fakeList) {}, nil},
+		{
+			"list away, seeds", func(l *fakeList) { l.set(func() { l.away = true }) },
+			func(c *Config) { c.Seeds = []string{"z0-1/entry", "z1-0/entry"} },
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			run(t, 2, 2, func(f *fleet) {
+				tt.before(f.list)
+				f.start(instance(0, 9), Entry, tt.change)
+				time.Sleep(8 * time.Second)
+				f.wantOnly("in its zone", "z0-9/entry", Alive, inZone("z0"))
+				time.Sleep(8 * time.Second)
+				f.wantAllAlive("everywhere")
+			})
+		})
+	}
+}
+
+// TestFlapping checks that a peer that dies again and again is held back, and
+// trusted again after it stayed up.
+func TestFlapping(t *testing.T) {
+	const id = "z0-0/entry"
+	run(t, 1, 2, func(f *fleet) {
+		for range flapDeaths {
+			f.kill(id)
+			time.Sleep(2 * time.Second)
+			f.wantOnly("down", id, Dead, anyone)
+			f.start(instance(0, 0), Entry, nil)
+			time.Sleep(4 * time.Second)
+		}
+		if n := f.seen(id, anyone)[Alive]; n > 0 {
+			t.Errorf("%d processes trust a flapping peer", n)
+		}
+		time.Sleep(2 * flapMaxHold)
+		f.wantAllAlive("steady")
+	})
+}
+
+// TestAttached checks that a changed value reaches the zone at once and the
+// others within a heartbeat between zones.
+func TestAttached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 2)
+		var value atomic.Int64
+		var mu sync.Mutex
+		got := map[string]string{}
+		f.startAll()
+		source := f.start(instance(0, 7), Entry, nil)
+		source.mu.Lock()
+		source.attachments = append(source.attachments, attachment{"n", func() any {
+			if n := value.Load(); n > 0 {
+				return n
+			}
+			return nil
+		}})
+		source.mu.Unlock()
+		for id, p := range f.procs {
+			p.OnAttached("n", func(from Peer, v json.RawMessage) {
+				mu.Lock()
+				defer mu.Unlock()
+				got[id] += from.ID + "=" + string(v) + " "
+			})
+		}
+		time.Sleep(10 * time.Second)
+		value.Store(5)
+		time.Sleep(600 * time.Millisecond)
+		mu.Lock()
+		defer mu.Unlock()
+		for id, p := range f.procs {
+			if p.Self().Zone == "z0" && id != source.Self().ID && got[id] != "z0-7/entry=5 " {
+				t.Errorf("%s got %q", id, got[id])
+			}
+		}
+	})
+}
+
+// TestCall checks the codes of calls, also to a peer of another zone that gets
+// no heartbeats.
+func TestCall(t *testing.T) {
+	tests := []struct {
+		name, peer, method string
+		before             func(f *fleet)
+		want               result.Code
+	}{
+		{"answer", "z0-1/entry", "who", nil, result.OK},
+		{"other zone", "z1-0/entry", "who", nil, result.OK},
+		{"other zone, second", "z1-1/scheduler", "who", nil, result.OK},
+		{"unknown method", "z0-1/entry", "what", nil, result.RequestUnsupported},
+		{"coded error", "z0-1/entry", "fail", nil, result.JobUnknown},
+		{"unknown peer", "z9-9/entry", "who", nil, result.PeerUnknown},
+		{"killed", "z0-1/entry", "who", func(f *fleet) { f.kill("z0-1/entry") }, result.PeerAway},
+		{"cut", "z0-1/entry", "who", func(f *fleet) {
+			f.net.setBoth(true, []string{"z0-0/entry"}, []string{"z0-1/entry"})
+		}, result.PeerAway},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 2, 2)
+				for _, i := range f.list.instances {
+					for _, program := range programs {
+						p := f.start(i, program, nil)
+						p.Handle("who", func(_ context.Context, from Peer, params json.RawMessage) (any, error) {
+							return from.ID + string(params), nil
+						})
+						p.Handle("fail", func(context.Context, Peer, json.RawMessage) (any, error) {
+							return nil, result.Errorf(result.JobUnknown, "j1")
+						})
+					}
+				}
+				time.Sleep(10 * time.Second)
+				if tt.before != nil {
+					tt.before(f)
+				}
+				var reply string
+				err := f.procs["z0-0/entry"].Call(t.Context(), tt.peer, tt.method, 7, &reply)
+				if result.Of(err) != tt.want {
+					t.Fatalf("Call() = %v, want code %d", err, tt.want)
+				}
+				if err == nil && reply != "z0-0/entry7" {
+					t.Errorf("Call() answered %q", reply)
+				}
+			})
+		})
+	}
+}
+
+// TestOtherDeployment checks that a process of another deployment stays out of
+// the view.
+func TestOtherDeployment(t *testing.T) {
+	run(t, 1, 2, func(f *fleet) {
+		f.start(instance(0, 9), Entry, func(c *Config) { c.Deployment = "cymru" })
+		time.Sleep(5 * time.Second)
+		for _, p := range f.procs {
+			if p.Self().Instance != "z0-9" && stateOf(p.View(), "z0-9/entry") != "" {
+				t.Errorf("%s knows the stranger", p.Self().ID)
+			}
+		}
+		delete(f.procs, "z0-9/entry")
+	})
+}
+
+// TestChanged checks that the channel of a view is closed when the next is out.
+func TestChanged(t *testing.T) {
+	run(t, 1, 2, func(f *fleet) {
+		p := f.procs["z0-0/entry"]
+		changed, version := p.Changed(), p.View().Version
+		f.kill("z0-1/entry")
+		select {
+		case <-changed:
+		case <-time.After(5 * time.Second):
+			t.Fatal("no change was told")
+		}
+		if p.View().Version <= version {
+			t.Errorf("version %d after %d", p.View().Version, version)
+		}
+	})
+}
+
+func TestNewConfig(t *testing.T) {
+	s := settings.Common{Deployment: "dosanko", Instance: "i1", Zone: "ishikari", PeerListen: "127.0.0.1:7000"}
+	cfg, err := NewConfig(&s, Entry, nil, nil)
+	if err != nil || cfg.Address != s.PeerListen || cfg.Keys != nil {
+		t.Errorf("NewConfig() = %+v, %v", cfg, err)
+	}
+	if _, err := New(Config{}); result.Of(err) != result.SettingsMissing {
+		t.Errorf("New() of nothing = %v", err)
+	}
+	if !strings.HasSuffix(IDOf("i1", Entry), "/entry") {
+		t.Error("IDOf()")
+	}
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -96,6 +96,9 @@
 	c.url("platform.instances", s.Platform.Instances)
 	c.duration("platform.timeout", s.Platform.Timeout, minCall, maxCall)
 	c.address("peer_listen", s.PeerListen)
+	for i, seed := range s.PeerSeeds {
+		c.address(fmt.Sprintf("peer_seeds[%d]", i), seed)
+	}
 	c.duration("heartbeat", s.Heartbeat, minHeartbeat, maxHeartbeat)
 	c.duration("drain", s.Drain, minDrain, maxDrain)
 	c.oneOf("log.format", s.Log.Format, "json", "text")
@@ -121,6 +124,7 @@
 
 // addresses returns every address and URL of s and more.
 func (s *Common) addresses(more ...string) []string {
+	more = append(more, s.PeerSeeds...)
 	return append(more, s.PeerListen, s.Platform.Tables, s.Platform.Objects, s.Platform.Instances)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,6 +18,8 @@
 	Drain      job.Duration `json:"drain"`        // limit of a graceful shutdown
 	Log        Log          `json:"log"`
 	BundleFile string       `json:"bundle_file,omitempty"` // first bundle of a new deployment
+	// PeerSeeds are peers to ask while the platform's list is away, IP:port.
+	PeerSeeds []string `json:"peer_seeds,omitempty"`
 }
 
 // Platform says where the platform's services are.
