--- a/Makefile
+++ b/Makefile
@@ -29,4 +29,4 @@
 CASE ?=
 SEED ?= 1
 chaos: build
-	CHAOS_SEED=$(SEED) $(GO) test -tags chaos -count=1 -parallel 4 -timeout 55s -run '^TestChaos$$/^$(CASE)' ./test/chaos
+	CHAOS_SEED=$(SEED) $(GO) test -tags chaos -count=1 -parallel 4 -timeout 55s -run '^TestChaos$$$(if $(CASE),/^$(CASE)$$)' ./test/chaos
--- a/test/chaos/chaos_test.go
+++ b/test/chaos/chaos_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"os"
+	"slices"
 	"strconv"
 	"syscall"
 	"testing"
@@ -129,6 +130,21 @@
 		time.Sleep(time.Second)
 		n.scheduler.start(s.t)
 	}},
+	{"scheduler-paused", func(s *scene) {
+		n := s.anyNode()
+		n.scheduler.signal(syscall.SIGSTOP)
+		time.Sleep(5 * time.Second)
+		n.scheduler.signal(syscall.SIGCONT)
+		time.Sleep(time.Second)
+	}},
+	{"schedulers-of-a-zone-killed", func(s *scene) {
+		s.restartSchedulers(s.zoneNodes(zones[s.rand.IntN(len(zones))].name), time.Second)
+	}},
+	{"cold-start-tables-down", func(s *scene) {
+		s.inject(standin.Fault{Kind: standin.Down, Target: "tables", For: seconds(3)})
+		s.restartSchedulers(s.nodes, 0)
+		time.Sleep(4 * time.Second)
+	}},
 	{"entry-killed", func(s *scene) {
 		n := s.anyNode()
 		n.entry.kill()
@@ -187,6 +203,21 @@
 
 func (s *scene) anyNode() *node { return s.nodes[s.rand.IntN(len(s.nodes))] }
 
+func (s *scene) zoneNodes(zone string) []*node {
+	return slices.DeleteFunc(slices.Clone(s.nodes), func(n *node) bool { return n.zone != zone })
+}
+
+// restartSchedulers kills the schedulers of nodes and starts them again after d.
+func (s *scene) restartSchedulers(nodes []*node, d time.Duration) {
+	for _, n := range nodes {
+		n.scheduler.kill()
+	}
+	time.Sleep(d)
+	for _, n := range nodes {
+		n.scheduler.start(s.t)
+	}
+}
+
 func (s *scene) anyWorker() string {
 	z := zones[s.rand.IntN(len(zones))].name
 	return z + "-w00" + strconv.Itoa(s.rand.IntN(workersPerZone))
