--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -189,58 +189,22 @@
 
 // call carries an exchange under the faults in force.
 func (w *worker) call(ctx context.Context, from platform.From, req contract.ExchangeRequest) (contract.ExchangeReply, error) {
-	var none contract.ExchangeReply
-	ctx, cancel := context.WithTimeout(ctx, w.sys.cfg.CallTimeout.D())
+	waiting, cancel := context.WithTimeout(ctx, w.sys.cfg.CallTimeout.D())
 	defer cancel()
-	if err := w.sys.faults.pass(ctx, from.Zone, w.inst.Zone, result.WorkerAway); err != nil {
-		return none, err
-	}
-	if err := w.awake(ctx); err != nil {
-		return none, err
-	}
-	if _, hit := w.hit(Down); hit {
-		return none, refused(result.WorkerAway, w.inst.ID+" is down")
-	}
-	reply, err := w.exchangeOrLate(ctx, req)
-	if contract.OutcomeOf(err) == contract.Unknown && err != nil {
-		return none, err
-	}
-	if f, hit := w.hit(Slow); hit && sleep(ctx, f.Delay.D()) != nil {
-		return none, unknown(result.WorkerAway, "no answer in time")
-	}
-	if err == nil {
-		if _, hit := w.hit(Lost); hit {
-			return none, unknown(result.WorkerAway, "the answer was lost")
-		}
-	}
-	if err := w.sys.faults.pass(ctx, w.inst.Zone, from.Zone, result.WorkerAway); err != nil {
-		return none, err
-	}
-	return reply, err
-}
-
-// exchangeOrLate takes req now or, under a Late fault, later: also when the
-// caller gave up.
-func (w *worker) exchangeOrLate(ctx context.Context, req contract.ExchangeRequest) (contract.ExchangeReply, error) {
-	f, hit := w.hit(Late)
-	if !hit {
-		return w.exchange(req)
-	}
-	type outcome struct {
-		reply contract.ExchangeReply
-		err   error
-	}
-	done := make(chan outcome, 1)
-	time.AfterFunc(f.Delay.D(), func() {
-		reply, err := w.exchange(req)
-		done <- outcome{reply, err}
+	if err := w.awake(waiting); err != nil {
+		return contract.ExchangeReply{}, err
+	}
+	p := path{from.Zone, w.inst.Zone, []string{w.inst.ID, "workers"}, result.WorkerAway, result.WorkerAway}
+	reply := make(chan contract.ExchangeReply, 1)
+	err := w.sys.carry(ctx, p, true, func() error {
+		r, err := w.exchange(req)
+		reply <- r
+		return err
 	})
-	select {
-	case o := <-done:
-		return o.reply, o.err
-	case <-ctx.Done():
-		return contract.ExchangeReply{}, unknown(result.WorkerAway, "no answer in time")
+	if err != nil {
+		return contract.ExchangeReply{}, err
 	}
+	return <-reply, nil
 }
 
 func (w *worker) hit(kind Kind) (Fault, bool) {
--- a/internal/standin/worker_test.go
+++ b/internal/standin/worker_test.go
@@ -275,6 +275,13 @@
 			o.ask()
 			o.want("b/0#1 stopped lease-lapsed")
 		}},
+		{"a paused worker does not answer", func(o *owner) {
+			o.inject(Fault{Kind: Pause, Target: o.id})
+			_, err := o.send(contract.ExchangeRequest{Worker: o.id, Epoch: o.epoch})
+			wantError(o.t, err, result.WorkerAway, contract.Unknown)
+			o.inject(Fault{Kind: Resume, Target: o.id})
+			o.ask()
+		}},
 		{"a short pause costs time only", func(o *owner) {
 			o.order(start(batch(runOf("b", 1))))
 			o.inject(Fault{Kind: Pause, Target: o.id, For: job.Duration(5 * time.Second)})
