--- /dev/null
+++ b/internal/capacity/plot.go
@@ -0,0 +1,33 @@
+package capacity
+
+import (
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 14 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+)
+
+// Plot writes the points of s and its line to an SVG file.
+func Plot(s *Series, file string) error {
+	p := plot.New()
+	p.Title.Text = s.Title
+	p.X.Label.Text = s.XLabel
+	p.Y.Label.Text = s.YLabel
+	p.Y.Min = 0
+	p.Add(plotter.NewGrid())
+	pts := make(plotter.XYs, len(s.Points))
+	for i, v := range s.Points {
+		pts[i].X, pts[i].Y = v.X, v.Y
+	}
+	dots, err := plotter.NewScatter(pts)
+	if err != nil {
+		return err
+	}
+	p.Add(dots, plotter.NewFunction(s.Fit.At))
+	return p.Save(plotWidth, plotHeight, file)
+}
--- /dev/null
+++ b/internal/capacity/series.go
@@ -0,0 +1,87 @@
+// Package capacity turns measured series into slopes, plots and the tables of
+// docs/CAPACITY.md.
+package capacity
+
+import (
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Point is one measurement.
+type Point struct {
+	X float64 `json:"x"`
+	Y float64 `json:"y"`
+}
+
+// Series is a quantity measured at several sizes.
+type Series struct {
+	Name    string  `json:"name"`    // also the plot's file name
+	Title   string  `json:"title"`   // what was measured
+	XLabel  string  `json:"x_label"` // with unit
+	YLabel  string  `json:"y_label"` // with unit
+	Command string  `json:"command"` // that produced it
+	Points  []Point `json:"points"`
+	Fit     Fit     `json:"fit"`
+}
+
+// Fit is a straight line through a series.
+type Fit struct {
+	Intercept float64 `json:"intercept"`
+	Slope     float64 `json:"slope"`
+	// Residual is the root mean square distance of the points from the line,
+	// in the unit of Y.
+	Residual float64 `json:"residual"`
+}
+
+// minPoints is how many sizes a slope needs.
+const minPoints = 4
+
+// Line fits a straight line by least squares. It returns false for fewer than
+// four points.
+func Line(points []Point) (Fit, bool) {
+	if len(points) < minPoints {
+		return Fit{}, false
+	}
+	xs, ys := split(points)
+	a, b := stat.LinearRegression(xs, ys, nil, false)
+	f := Fit{Intercept: a, Slope: b}
+	f.Residual = f.rms(points)
+	return f, true
+}
+
+func split(points []Point) (xs, ys []float64) {
+	for _, p := range points {
+		xs = append(xs, p.X)
+		ys = append(ys, p.Y)
+	}
+	return xs, ys
+}
+
+func (f Fit) rms(points []Point) float64 {
+	sum := 0.0
+	for _, p := range points {
+		d := p.Y - f.At(p.X)
+		sum += d * d
+	}
+	return math.Sqrt(sum / float64(len(points)))
+}
+
+// At returns the line's value at x.
+func (f Fit) At(x float64) float64 { return f.Intercept + f.Slope*x }
+
+// Results is the machine-readable outcome of one run of measurements.
+type Results struct {
+	Machine string   `json:"machine"` // processors and release of Go
+	Series  []Series `json:"series"`
+}
+
+// Find returns the series of that name, or nil.
+func (r *Results) Find(name string) *Series {
+	for i := range r.Series {
+		if r.Series[i].Name == name {
+			return &r.Series[i]
+		}
+	}
+	return nil
+}
