One meter for the bytes at a process's sockets

Cause: control traffic must be counted at the sockets, on peer links and on calls to the platform and the workers alike. Change: package meter; links and platform clients count through it. Before: only peer links were counted.

--- a/internal/capacity/estimates.go
+++ b/internal/capacity/estimates.go
@@ -74,3 +74,6 @@
 	}
 	return v, how, true
 }
+
+// estimates are worked out in the order of the page.
+var estimates = []estimate{}
--- a/internal/link/endpoint.go
+++ b/internal/link/endpoint.go
@@ -10,6 +10,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"skylarkport/internal/meter"
 	"skylarkport/internal/obs"
 	"skylarkport/internal/result"
 )
@@ -40,7 +41,7 @@
 // Endpoint makes and accepts the connections of a process.
 type Endpoint struct {
 	cfg   Config
-	bytes Bytes
+	bytes meter.Bytes
 	ctx   context.Context // ends with Serve; every connection with it
 	stop  context.CancelFunc
 
@@ -58,7 +59,7 @@
 }
 
 // Bytes counts what passed the sockets.
-func (e *Endpoint) Bytes() *Bytes { return &e.bytes }
+func (e *Endpoint) Bytes() *meter.Bytes { return &e.bytes }
 
 // Serve accepts connections until ctx ends, and closes every connection then.
 func (e *Endpoint) Serve(ctx context.Context) error {
@@ -135,7 +136,7 @@
 
 // secure makes the TLS handshake, or none in clear.
 func (e *Endpoint) secure(ctx context.Context, raw net.Conn, dialed bool) (*Conn, error) {
-	counted := &countedConn{Conn: raw, bytes: &e.bytes}
+	counted := &timedConn{e.bytes.Conn(raw)}
 	c := &Conn{endpoint: e, raw: counted, dialed: dialed}
 	if e.cfg.Keys == nil {
 		return c, nil
--- a/internal/link/transport.go
+++ b/internal/link/transport.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"sync/atomic"
 	"time"
 )
 
@@ -25,32 +24,15 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// Bytes counts what passed the sockets of a process.
-type Bytes struct {
-	In  atomic.Int64
-	Out atomic.Int64
-}
-
-// countedConn counts bytes, bounds the time of a write and the size of a
-// message.
-type countedConn struct {
+// timedConn bounds the time of a write.
+type timedConn struct {
 	net.Conn
-	bytes *Bytes
-}
-
-// Read implements io.Reader.
-func (c *countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.In.Add(int64(n))
-	return n, err
 }
 
 // Write implements io.Writer.
-func (c *countedConn) Write(b []byte) (int, error) {
+func (c *timedConn) Write(b []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
-	n, err := c.Conn.Write(b)
-	c.bytes.Out.Add(int64(n))
-	return n, err
+	return c.Conn.Write(b)
 }
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"skylarkport/internal/link"
+	"skylarkport/internal/meter"
 	"skylarkport/internal/obs"
 )
 
@@ -113,7 +114,7 @@
 }
 
 // Bytes counts what passed the sockets between the peers.
-func (m *Members) Bytes() *link.Bytes { return m.endpoint.Bytes() }
+func (m *Members) Bytes() *meter.Bytes { return m.endpoint.Bytes() }
 
 // Leave tells the peers that this process leaves. Calls go on until Run ends.
 func (m *Members) Leave() {
--- a/internal/member/meters.go
+++ b/internal/member/meters.go
@@ -5,7 +5,7 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"skylarkport/internal/link"
+	"skylarkport/internal/meter"
 )
 
 // meterInterval is how often the gauges are set.
@@ -13,7 +13,7 @@
 
 // meters are the metrics of the membership.
 type meters struct {
-	bytes   *link.Bytes
+	bytes   *meter.Bytes
 	in, out tally.Counter
 	beats   tally.Counter
 	states  map[State]tally.Gauge
@@ -22,7 +22,7 @@
 	at      time.Duration
 }
 
-func newMeters(scope tally.Scope, bytes *link.Bytes) *meters {
+func newMeters(scope tally.Scope, bytes *meter.Bytes) *meters {
 	scope = scope.SubScope("peer")
 	states := map[State]tally.Gauge{}
 	for _, s := range order {
--- /dev/null
+++ b/internal/meter/meter.go
@@ -0,0 +1,62 @@
+// Package meter counts the bytes that pass a process's sockets.
+package meter
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Bytes counts bytes in both directions. The zero value is ready.
+type Bytes struct {
+	In  atomic.Int64
+	Out atomic.Int64
+}
+
+// Conn returns c with its bytes counted.
+func (b *Bytes) Conn(c net.Conn) net.Conn { return &conn{Conn: c, bytes: b} }
+
+// conn is a connection whose bytes are counted.
+type conn struct {
+	net.Conn
+	bytes *Bytes
+}
+
+// Read implements io.Reader.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.In.Add(int64(n))
+	return n, err
+}
+
+// Write implements io.Writer.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Out.Add(int64(n))
+	return n, err
+}
+
+// reportInterval is how often Report hands the counts on.
+const reportInterval = time.Second
+
+// Report hands the counts to the counters bytes_in and bytes_out of scope until
+// done is closed.
+func (b *Bytes) Report(done <-chan struct{}, scope tally.Scope) {
+	in, out := scope.Counter("bytes_in"), scope.Counter("bytes_out")
+	t := time.NewTicker(reportInterval)
+	defer t.Stop()
+	var lastIn, lastOut int64
+	for {
+		select {
+		case <-done:
+			return
+		case <-t.C:
+		}
+		nowIn, nowOut := b.In.Load(), b.Out.Load()
+		in.Inc(nowIn - lastIn)
+		out.Inc(nowOut - lastOut)
+		lastIn, lastOut = nowIn, nowOut
+	}
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"skylarkport/internal/contract"
+	"skylarkport/internal/meter"
 	"skylarkport/internal/result"
 	"skylarkport/internal/settings"
 )
@@ -57,6 +58,7 @@
 	from    From
 	http    *http.Client
 	timeout time.Duration
+	bytes   meter.Bytes
 }
 
 // New returns a client for the services that cfg names.
@@ -65,13 +67,22 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
+	c := &Client{cfg: cfg, from: from, timeout: timeout}
+	dialer := &net.Dialer{Timeout: timeout}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return c.bytes.Conn(conn), nil
+		},
 		MaxIdleConnsPerHost: idleConnsPerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
-	return &Client{cfg: cfg, from: from, http: &http.Client{Transport: transport}, timeout: timeout}
+	c.http = &http.Client{Transport: transport}
+	return c
 }
 
 // Tables returns the table service.
@@ -86,6 +97,9 @@
 // Workers returns the control interface of the workers.
 func (c *Client) Workers() contract.Workers { return workers{c} }
 
+// Bytes returns what passed the sockets of all calls.
+func (c *Client) Bytes() *meter.Bytes { return &c.bytes }
+
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
