Estimates of the capacity page

Cause: each role's need at the target size is a sum of measured lines. Conclusion: filled by the measurements; a missing series reads 'not measured'.

--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,61 @@
+package capacity
+
+import (
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestLine(t *testing.T) {
+	tests := []struct {
+		name   string
+		points []Point
+		ok     bool
+		want   Fit
+	}{
+		{"too few", []Point{{1, 1}, {2, 2}, {3, 3}}, false, Fit{}},
+		{"exact", []Point{{1, 3}, {2, 5}, {3, 7}, {4, 9}}, true, Fit{Intercept: 1, Slope: 2}},
+		{"scattered", []Point{{0, 1}, {1, -1}, {2, -1}, {3, 1}}, true, Fit{Residual: 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, ok := Line(tt.points)
+			if ok != tt.ok || far(got.Intercept, tt.want.Intercept) || far(got.Slope, tt.want.Slope) || far(got.Residual, tt.want.Residual) {
+				t.Errorf("Line = %+v, %v; want %+v, %v", got, ok, tt.want, tt.ok)
+			}
+		})
+	}
+}
+
+func far(a, b float64) bool { return math.Abs(a-b) > 1e-9 }
+
+func TestWriteRegeneratesTheTables(t *testing.T) {
+	docs := t.TempDir()
+	page := "a\n<!-- begin slopes -->\nold\n<!-- end slopes -->\nb\n<!-- begin roles -->\n<!-- end roles -->\nc\n"
+	if err := os.WriteFile(filepath.Join(docs, pageFile), []byte(page), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s := Series{Name: TakeoverSeconds, Title: "takeover", Points: []Point{{100, 9}, {200, 9}, {300, 9}, {400, 9}}}
+	s.Fit, _ = Line(s.Points)
+	if err := Write(docs, &Results{Machine: "m", Series: []Series{s}}); err != nil {
+		t.Fatal(err)
+	}
+	b, err := os.ReadFile(filepath.Join(docs, pageFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"a\n<!-- begin slopes -->\n", "100: 9", "| **no** |", "not measured", "c\n"} {
+		if !strings.Contains(string(b), want) {
+			t.Errorf("page lacks %q:\n%s", want, b)
+		}
+	}
+	if strings.Contains(string(b), "old") {
+		t.Error("the old table is still there")
+	}
+	back, err := Read(docs)
+	if err != nil || back.Find(TakeoverSeconds) == nil {
+		t.Errorf("Read = %+v, %v", back, err)
+	}
+}
