--- a/internal/placement/cycle.go
+++ b/internal/placement/cycle.go
@@ -11,7 +11,7 @@
 	"skylarkport/internal/resource"
 )
 
-// maxConsidered bounds the pending tasks that one cycle looks at.
+// maxConsidered bounds the pending tasks for which one cycle looks for a worker.
 const maxConsidered = 2048
 
 // Names of the stages in a Reason.
@@ -48,17 +48,18 @@
 
 // cycle is the working state of one call of Decide.
 type cycle struct {
-	s        *Snapshot
-	v        *View
-	nodes    []*node
-	index    *index
-	largest  []resource.Vector // capacities of the workers, none of which another holds
-	headroom map[string]resource.Vector
-	racks    map[string]map[string]int // runs by job and rack, of replicated jobs
-	blocked  map[string]Reason         // jobs of which a task found no worker in this cycle
-	plan     *Plan
-	evicted  int
-	tail     float64
+	s          *Snapshot
+	v          *View
+	nodes      []*node
+	index      *index
+	largest    []resource.Vector // capacities of the workers, none of which another holds
+	headroom   map[string]resource.Vector
+	racks      map[string]map[string]int // runs by job and rack, of replicated jobs
+	blocked    map[string]Reason         // jobs of which a task found no worker in this cycle
+	plan       *Plan
+	evicted    int
+	considered int
+	tail       float64
 }
 
 // Decide returns the decisions for one snapshot. It is pure: it reads s and v
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -75,6 +75,7 @@
 	floors       map[job.TaskID]resource.Vector
 	evictions    []time.Duration // by interference, newest last
 	now          time.Duration
+	blind        bool
 }
 
 // New returns an engine that has observed nothing.
@@ -105,6 +106,15 @@
 	})
 }
 
+// SetBlind turns the learning of interference off or on. A blind engine places
+// by resources alone and blames the neighbours of a slow service by the
+// processors that they use.
+func (e *Engine) SetBlind(blind bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.blind = blind
+}
+
 // Fleet tells how many workers the shard has.
 func (e *Engine) Fleet(n int) {
 	e.mu.Lock()
@@ -161,6 +171,9 @@
 		v.Ratios = append(slices.Clone(v.Ratios), float64(p99)/float64(target))
 		v.Ratios = v.Ratios[max(0, len(v.Ratios)-ratiosKept):]
 	}
+	if e.blind {
+		return
+	}
 	e.interference.Observe(Family(u.Spec), v.Load, p99, e.neighbours(r, u.Run), r.Now)
 }
 
--- a/internal/placement/interference_limit.go
+++ b/internal/placement/interference_limit.go
@@ -29,7 +29,7 @@
 func (interferenceLimit) name() string { return StageInterference }
 
 func (interferenceLimit) check(c *cycle, n *node, t *candidate) string {
-	if t.p.Spec.Kind != job.Batch {
+	if t.p.Spec.Kind != job.Batch || c.v.Blind {
 		return ""
 	}
 	c.prepare(n)
@@ -56,7 +56,7 @@
 }
 
 func (interferenceLimit) score(c *cycle, n *node, t *candidate) float64 {
-	if t.p.Spec.Kind != job.Batch {
+	if t.p.Spec.Kind != job.Batch || c.v.Blind {
 		return 0
 	}
 	sum := 0.0
--- a/internal/placement/respond.go
+++ b/internal/placement/respond.go
@@ -22,7 +22,9 @@
 	// throttleTo is the fraction of its commitment that a throttled run keeps.
 	throttleTo = 0.4
 	// meaningful is the least log slowdown that a run is blamed for.
-	meaningful    = 0.02
+	meaningful = 0.02
+	// blindSlowdown is the log slowdown assumed of a run that fills a worker.
+	blindSlowdown = 1.0
 	calmCooldowns = 2 // cooldowns before a throttled run is let go
 	evictWithin   = 4 // cooldowns after a move within which the next step evicts
 )
@@ -145,7 +147,7 @@
 		if r.Stopping || r.Spec.Kind != job.Batch {
 			continue
 		}
-		part := x.curves.Weight(x.band, Family(r.Spec)).Mean * c.runIntensity(n, r)
+		part := c.part(n, x, r)
 		if part >= meaningful {
 			list = append(list, blame{r, part})
 		}
@@ -159,6 +161,14 @@
 	return list
 }
 
+// part is the log slowdown that r adds to x's service.
+func (c *cycle) part(n *node, x *exposure, r *Run) float64 {
+	if c.v.Blind {
+		return blindSlowdown * share(r.Commit.MilliCPU, n.w.Capacity.MilliCPU)
+	}
+	return x.curves.Weight(x.band, Family(r.Spec)).Mean * c.runIntensity(n, r)
+}
+
 // compareAge orders the younger run first: it has less to lose.
 func compareAge(a, b time.Duration) int {
 	if a == b {
--- a/internal/placement/schedule.go
+++ b/internal/placement/schedule.go
@@ -53,8 +53,8 @@
 
 // schedule places the pending tasks in queue order.
 func (c *cycle) schedule() {
-	for i, p := range c.order() {
-		if i == maxConsidered {
+	for _, p := range c.order() {
+		if c.considered == maxConsidered {
 			return
 		}
 		c.place(p)
@@ -67,6 +67,7 @@
 		c.decide(Decision{Step: Wait, Task: p.Task, Reason: r})
 		return
 	}
+	c.considered++
 	t := &candidate{p: p, family: Family(p.Spec), commit: c.commitment(p.Spec, p.Task)}
 	for _, f := range prefilters {
 		if step, why := f.check(c, t); step != "" {
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -40,6 +40,7 @@
 	Floors       map[job.TaskID]resource.Vector // least commitment of outgrown tasks
 	// Evictions is how many runs interference moved within the last hour.
 	Evictions int
+	Blind     bool // see Engine.SetBlind
 }
 
 // Freeze returns the present picture.
@@ -54,6 +55,7 @@
 		Quarantine:   e.quarantine.Freeze(e.now),
 		Floors:       maps.Clone(e.floors),
 		Evictions:    e.recentEvictions(),
+		Blind:        e.blind,
 	}
 }
 
--- a/internal/taskqueue/queue.go
+++ b/internal/taskqueue/queue.go
@@ -52,6 +52,7 @@
 type Queue struct {
 	entries map[job.TaskID]*entry
 	counts  [places]int
+	events  Event // since the last Active
 }
 
 // New returns an empty queue.
@@ -95,8 +96,10 @@
 // Tasks whose back-off is over, and those not looked at for long, come back.
 func (q *Queue) Active(now time.Duration) []*placement.Pending {
 	out := make([]*placement.Pending, 0, q.counts[Active])
+	events := q.events
+	q.events = 0
 	for _, e := range q.entries {
-		q.wake(e, now)
+		q.wake(e, events, now)
 		if e.place == Active {
 			out = append(out, e.p)
 		}
@@ -104,8 +107,10 @@
 	return out
 }
 
-func (q *Queue) wake(e *entry, now time.Duration) {
+func (q *Queue) wake(e *entry, events Event, now time.Duration) {
 	switch {
+	case e.waits() && helps(e)&events != 0:
+		q.move(e, Active, now)
 	case e.place == BackOff && e.p.NotBefore <= now:
 		q.move(e, Active, now)
 	case e.place == Unschedulable && now-e.since >= refresh:
@@ -141,17 +146,9 @@
 	}
 }
 
-// Notify moves back the tasks that the event may help and returns how many.
-func (q *Queue) Notify(ev Event, now time.Duration) int {
-	n := 0
-	for _, e := range q.entries {
-		if e.waits() && helps(e)&ev != 0 {
-			q.move(e, Active, now)
-			n++
-		}
-	}
-	return n
-}
+// Notify notes an event. The tasks that it may help are active at the next call
+// of Active, so that a flood of events costs one pass.
+func (q *Queue) Notify(ev Event) { q.events |= ev }
 
 func (e *entry) waits() bool { return e.place == Unschedulable || e.place == Aside }
 
