--- /dev/null
+++ b/internal/bundle/validate.go
@@ -0,0 +1,170 @@
+package bundle
+
+import (
+	"crypto/ed25519"
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"skylarkport/internal/job"
+	"skylarkport/internal/strict"
+)
+
+// Limits of a bundle.
+const (
+	maxNameBytes = 64
+	maxNoteBytes = 1024
+	maxWeight    = 1000
+	maxTenants   = 10_000
+	maxServices  = 10_000
+	maxReviewers = 100
+	maxRoutes    = 100
+	maxTimeout   = 10 * time.Minute
+	maxBodyBytes = 64 << 20
+	maxRetries   = 1.0
+	maxFactor    = 1000.0
+	maxWindow    = 24 * time.Hour
+	maxCount     = 1_000_000
+)
+
+// Validate returns every reason why b is not valid.
+func Validate(b *Bundle) []Reason {
+	reasons := validateContents(b)
+	if b.Version != b.Base+1 {
+		reasons = append(reasons, Reason{"version", fmt.Sprintf("%d, one above the base", b.Base+1)})
+	}
+	return reasons
+}
+
+func validateContents(b *Bundle) []Reason {
+	v := &validator{}
+	v.name("author", b.Author)
+	v.check(len(b.Note) <= maxNoteBytes, "note", "at most %d bytes", maxNoteBytes)
+	v.tenants(b.Tenants)
+	v.services(b.Services)
+	v.placement(&b.Placement)
+	v.reviewers(b)
+	return v.reasons
+}
+
+type validator struct{ reasons []Reason }
+
+func (v *validator) check(ok bool, path, format string, args ...any) {
+	if !ok {
+		v.reasons = append(v.reasons, Reason{path, fmt.Sprintf(format, args...)})
+	}
+}
+
+func (v *validator) name(path, s string) {
+	bad := strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r == '/' || r == 0x7f || r == 0xfffd })
+	v.check(s != "" && len(s) <= maxNameBytes && !bad, path,
+		"1 to %d bytes without spaces and slashes, not %q", maxNameBytes, s)
+}
+
+// unique reports a name that was seen already.
+func (v *validator) unique(seen map[string]bool, path, name string) {
+	v.check(!seen[name], path, "%q once", name)
+	seen[name] = true
+}
+
+func within(x, low, high float64) bool { return !math.IsNaN(x) && x >= low && x <= high }
+
+func (v *validator) duration(path string, d job.Duration, low, high time.Duration) {
+	v.check(d.D() >= low && d.D() <= high, path, "%v to %v, not %v", low, high, d.D())
+}
+
+func (v *validator) tenants(tenants []Tenant) {
+	v.check(len(tenants) <= maxTenants, "tenants", "at most %d", maxTenants)
+	seen := map[string]bool{}
+	for i, t := range tenants {
+		at := fmt.Sprintf("tenants[%d]", i)
+		v.name(strict.Join(at, "name"), t.Name)
+		v.unique(seen, strict.Join(at, "name"), t.Name)
+		v.check(t.Weight >= 1 && t.Weight <= maxWeight, strict.Join(at, "weight"), "1 to %d, not %d", maxWeight, t.Weight)
+		v.check(t.Quota.Valid(), strict.Join(at, "quota"), "no negative amount")
+	}
+}
+
+func (v *validator) services(services []Service) {
+	v.check(len(services) <= maxServices, "services", "at most %d", maxServices)
+	seen := map[string]bool{}
+	for i := range services {
+		at := fmt.Sprintf("services[%d]", i)
+		v.unique(seen, strict.Join(at, "name"), services[i].Name)
+		v.service(at, &services[i])
+	}
+}
+
+func (v *validator) service(at string, s *Service) {
+	v.name(strict.Join(at, "name"), s.Name)
+	v.duration(strict.Join(at, "target"), s.Target, 0, maxTimeout)
+	v.duration(strict.Join(at, "timeout"), s.Timeout, time.Millisecond, maxTimeout)
+	v.check(s.Target <= s.Timeout, strict.Join(at, "target"), "at most the timeout of %v", s.Timeout.D())
+	v.check(s.Class == job.LatencyCritical || s.Class == job.BestEffort, strict.Join(at, "class"),
+		"%q or %q, not %q", job.LatencyCritical, job.BestEffort, s.Class)
+	v.check(s.MaxBodyBytes >= 0 && s.MaxBodyBytes <= maxBodyBytes, strict.Join(at, "max_body_bytes"), "0 to %d", maxBodyBytes)
+	v.check(s.MaxAnswerBytes >= 0 && s.MaxAnswerBytes <= maxBodyBytes, strict.Join(at, "max_answer_bytes"), "0 to %d", maxBodyBytes)
+	v.check(within(s.RetryRatio, 0, maxRetries), strict.Join(at, "retry_ratio"), "0 to %v", maxRetries)
+	v.routes(strict.Join(at, "idempotent"), s.Idempotent)
+	v.routes(strict.Join(at, "not_idempotent"), s.NotIdempotent)
+}
+
+func (v *validator) routes(at string, routes []Route) {
+	v.check(len(routes) <= maxRoutes, at, "at most %d", maxRoutes)
+	for i, r := range routes {
+		here := fmt.Sprintf("%s[%d]", at, i)
+		v.check(r.Method == strings.ToUpper(r.Method) && !strings.ContainsAny(r.Method, " \t/"), strict.Join(here, "method"),
+			"an HTTP method in capitals or none, not %q", r.Method)
+		v.check(strings.HasPrefix(r.Prefix, "/"), strict.Join(here, "prefix"), "a path from /, not %q", r.Prefix)
+	}
+}
+
+// placement allows zero everywhere: the policy's default.
+func (v *validator) placement(p *Placement) {
+	for _, f := range []struct {
+		name  string
+		value float64
+		high  float64
+	}{
+		{"tail_weight", p.TailWeight, maxFactor},
+		{"throughput_weight", p.ThroughputWeight, maxFactor},
+		{"eviction_weight", p.EvictionWeight, maxFactor},
+		{"usage_percentile", p.UsagePercentile, 1},
+		{"processor_margin", p.ProcessorMargin, maxFactor},
+		{"memory_margin", p.MemoryMargin, maxFactor},
+		{"slowdown_threshold", p.SlowdownThreshold, maxFactor},
+		{"quarantine_fraction", p.QuarantineFraction, 1},
+	} {
+		v.check(within(f.value, 0, f.high), strict.Join("placement", f.name), "0 to %v, not %v", f.high, f.value)
+	}
+	v.check(p.SlowdownThreshold == 0 || p.SlowdownThreshold >= 1, "placement.slowdown_threshold", "0 or at least 1, not %v", p.SlowdownThreshold)
+	v.duration("placement.window", p.Window, 0, maxWindow)
+	v.duration("placement.cooldown", p.Cooldown, 0, maxWindow)
+	v.duration("placement.quarantine_for", p.QuarantineFor, 0, maxWindow)
+	for _, f := range []struct {
+		name  string
+		value int
+	}{
+		{"evictions_per_job", p.EvictionsPerJob},
+		{"evictions_per_hour", p.EvictionsPerHour},
+		{"quarantine_failures", p.QuarantineFailures},
+	} {
+		v.check(f.value >= 0 && f.value <= maxCount, strict.Join("placement", f.name), "0 to %d, not %d", maxCount, f.value)
+	}
+}
+
+// reviewers checks the keys, and that the next bundle can be signed off.
+func (v *validator) reviewers(b *Bundle) {
+	v.check(len(b.Reviewers) <= maxReviewers, "reviewers", "at most %d", maxReviewers)
+	seen, keys := map[string]bool{}, map[string]bool{}
+	for i, k := range b.Reviewers {
+		at := fmt.Sprintf("reviewers[%d]", i)
+		v.name(strict.Join(at, "name"), k.Name)
+		v.unique(seen, strict.Join(at, "name"), k.Name)
+		v.check(len(k.Public) == ed25519.PublicKeySize, strict.Join(at, "public"), "%d bytes in base64", ed25519.PublicKeySize)
+		v.check(!keys[string(k.Public)], strict.Join(at, "public"), "a key of its own")
+		keys[string(k.Public)] = true
+	}
+	v.check(b.SignOffs >= 0 && b.SignOffs <= len(b.Reviewers), "sign_offs", "0 to the number of reviewers, %d", len(b.Reviewers))
+}
