--- a/test/chaos/chaos_test.go
+++ b/test/chaos/chaos_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -104,34 +105,38 @@
 	if codes[result.OK] < leastAnswers {
 		t.Errorf("%d requests were answered, at least %d are needed", codes[result.OK], leastAnswers)
 	}
-	t.Logf("calls by code %v; %d runs, %d executions, %d commits", codes, record.Totals.RunsStarted, record.Totals.Executions, record.Totals.Commits)
+	events := map[history.RunEventKind]int{}
+	for _, e := range record.Runs {
+		events[e.Kind]++
+	}
+	t.Logf("calls by code %v; runs %v; %d executions, %d commits", codes, events, record.Totals.Executions, record.Totals.Commits)
 }
 
 var cases = []chaosCase{
 	{"worker-killed", func(s *scene) {
 		for range 2 {
-			s.inject(standin.Fault{Kind: standin.Kill, Target: s.anyWorker()})
+			s.inject(standin.Fault{Kind: standin.Kill, Target: s.busyWorker("valuation")})
 		}
 	}},
 	{"worker-restarted-twice", func(s *scene) {
-		w := s.anyWorker()
+		w := s.busyWorker("valuation")
 		for range 2 {
 			s.inject(standin.Fault{Kind: standin.Restart, Target: w, Delay: job.Duration(200 * time.Millisecond)})
 			time.Sleep(time.Second)
 		}
 	}},
 	{"worker-paused", func(s *scene) {
-		s.inject(standin.Fault{Kind: standin.Pause, Target: s.anyWorker(), For: seconds(5)})
+		s.inject(standin.Fault{Kind: standin.Pause, Target: s.busyWorker("valuation"), For: seconds(5)})
 		time.Sleep(5 * time.Second)
 	}},
 	{"scheduler-killed", func(s *scene) {
-		n := s.anyNode()
+		n := s.owner()
 		n.scheduler.kill()
 		time.Sleep(time.Second)
 		n.scheduler.start(s.t)
 	}},
 	{"scheduler-paused", func(s *scene) {
-		n := s.anyNode()
+		n := s.owner()
 		n.scheduler.signal(syscall.SIGSTOP)
 		time.Sleep(5 * time.Second)
 		n.scheduler.signal(syscall.SIGCONT)
@@ -181,7 +186,7 @@
 		s.noneLapsed()
 	}},
 	{"upstream-leaving", func(s *scene) {
-		w := s.workerOf(service)
+		w := s.busyWorker(service)
 		if err := s.admin.Mark(s.ctx, w, contract.Leaving); err != nil {
 			s.t.Fatal(err)
 		}
@@ -194,7 +199,7 @@
 	}},
 	{"scheduler-killed-tables-down", func(s *scene) {
 		s.inject(standin.Fault{Kind: standin.Down, Target: "tables", For: seconds(4)})
-		n := s.anyNode()
+		n := s.owner()
 		n.scheduler.kill()
 		time.Sleep(5 * time.Second)
 		n.scheduler.start(s.t)
@@ -218,25 +223,44 @@
 	}
 }
 
-func (s *scene) anyWorker() string {
-	z := zones[s.rand.IntN(len(zones))].name
-	return z + "-w00" + strconv.Itoa(s.rand.IntN(workersPerZone))
-}
-
-// workerOf returns a worker that runs a task of the job.
-func (s *scene) workerOf(id string) string {
+// busyWorker returns a worker that runs a task of the job.
+func (s *scene) busyWorker(id string) string {
 	s.t.Helper()
 	var j api.Job
 	if err := s.operators().Get(s.ctx, api.PathJobs+"/"+id, nil, &j); err != nil {
 		s.t.Fatal(err)
 	}
+	var workers []string
 	for _, task := range j.Tasks {
 		if task.State == api.TaskRunning {
-			return task.Worker
+			workers = append(workers, task.Worker)
 		}
 	}
-	s.t.Fatalf("%s runs nowhere", id)
-	return ""
+	if len(workers) == 0 {
+		s.t.Fatalf("%s runs nowhere", id)
+	}
+	return workers[s.rand.IntN(len(workers))]
+}
+
+// owner returns an instance whose scheduler owns a shard.
+func (s *scene) owner() *node {
+	s.t.Helper()
+	status, err := s.status(s.anyNode())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	var owners []*node
+	for _, shard := range status.Shards {
+		for _, n := range s.nodes {
+			if strings.HasPrefix(shard.Owner, n.id+"/") && shard.Running > 0 {
+				owners = append(owners, n)
+			}
+		}
+	}
+	if len(owners) == 0 {
+		s.t.Fatalf("no owner in %+v", status)
+	}
+	return owners[s.rand.IntN(len(owners))]
 }
 
 // noneLapsed fails the test when a lease ended.
