Bundles and keys on the operator API and the command line

Cause: operators change the configuration only through proposals, sign-offs and acceptance, and need keys for it.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -50,7 +50,12 @@
 	if err != nil {
 		return result.Wrap(result.RequestBad, err, "encode")
 	}
-	return c.call(ctx, http.MethodPost, path, b, reply)
+	return c.PostBody(ctx, path, b, reply)
+}
+
+// PostBody is Post with a body that is JSON already.
+func (c *Client) PostBody(ctx context.Context, path string, body []byte, reply any) error {
+	return c.call(ctx, http.MethodPost, path, body, reply)
 }
 
 func (c *Client) call(ctx context.Context, method, path string, body []byte, reply any) error {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -35,6 +35,8 @@
 	c.Register(jobNoun(e, "service", job.Service), "work")
 	c.Register(jobNoun(e, "job", job.Batch), "work")
 	c.Register(jobNoun(e, "watch", job.Watch), "work")
+	c.Register(bundleNoun(e), "configuration")
+	c.Register(keysCommand(e), "configuration")
 	c.Register(statusCommand(e), "deployment")
 	c.Register(workersCommand(e), "deployment")
 	c.Register(explainCommand(e), "deployment")
--- a/internal/operator/api/api.go
+++ b/internal/operator/api/api.go
@@ -9,13 +9,14 @@
 
 // Paths of the operator API.
 const (
-	PathJobs     = "/v1/jobs"
-	PathCancel   = "/v1/jobs/cancel"
-	PathWorkers  = "/v1/workers"
-	PathStatus   = "/v1/status"
-	PathExplain  = "/v1/explain"
-	PathBundles  = "/v1/bundles"
-	PathProposal = "/v1/bundles/proposals"
+	PathJobs       = "/v1/jobs"
+	PathCancel     = "/v1/jobs/cancel"
+	PathWorkers    = "/v1/workers"
+	PathStatus     = "/v1/status"
+	PathExplain    = "/v1/explain"
+	PathBundles    = "/v1/bundles"
+	PathBundleDiff = "/v1/bundle-diff"
+	PathProposals  = "/v1/proposals"
 )
 
 // TaskState is the state of a task as operators see it.
