--- a/internal/bundle/parse.go
+++ b/internal/bundle/parse.go
@@ -6,9 +6,12 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"os"
 	"slices"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"skylarkport/internal/result"
 	"skylarkport/internal/strict"
 )
@@ -137,3 +140,17 @@
 	}
 	return b, nil
 }
+
+// LoadInitial reads the first bundle of a new deployment from the file that the
+// settings name. It returns nil for an empty name.
+func LoadInitial(file string) (*Bundle, error) {
+	if file == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, result.Wrap(result.BundleBad, err, "the first bundle")
+	}
+	b, err := ParseInitial(data)
+	return b, errors.Wrap(err, file)
+}
--- a/internal/link/endpoint.go
+++ b/internal/link/endpoint.go
@@ -201,9 +201,14 @@
 	return out
 }
 
-// recheck closes the connections whose certificates no longer hold.
-func (e *Endpoint) recheck() {
+// recheck closes the connections whose certificates no longer hold: those that
+// expired, and after a change of the keys those that no authority vouches for.
+func (e *Endpoint) recheck(changed bool) {
+	now := time.Now()
 	for _, c := range e.all() {
+		if !changed && now.Before(c.chain[0].NotAfter) {
+			continue
+		}
 		if _, err := e.cfg.Keys.verify(c.chain); err != nil {
 			c.refuse(err)
 		}
--- a/internal/link/keys.go
+++ b/internal/link/keys.go
@@ -87,8 +87,9 @@
 	return nil
 }
 
-// Watch reloads the files until ctx ends and calls checked after every look.
-func (k *Keys) Watch(ctx context.Context, checked func()) {
+// Watch reloads the files until ctx ends and calls checked after every look, with
+// whether they changed.
+func (k *Keys) Watch(ctx context.Context, checked func(changed bool)) {
 	logger := obs.Logger("keys")
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
@@ -105,7 +106,7 @@
 		if changed {
 			logger.Info("the keys were read again")
 		}
-		checked()
+		checked(changed)
 	}
 }
 
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -84,6 +84,8 @@
 
 func (d *decoder) value(path string, raw json.RawMessage, v reflect.Value) {
 	switch {
+	case string(raw) == "null" && v.Kind() == reflect.Slice:
+		return // an empty list
 	case string(raw) == "null":
 		d.add(Type, path, "%s, not null", typeName(v.Type()))
 	case v.Type() == durationType:
