--- /dev/null
+++ b/internal/intake/cancel.go
@@ -0,0 +1,103 @@
+package intake
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"skylarkport/internal/contract"
+	"skylarkport/internal/operator/api"
+	"skylarkport/internal/result"
+	"skylarkport/internal/shard"
+)
+
+const cancelTries = 5
+
+// Cancel marks the jobs as cancelled and tells their shards, many jobs in one
+// commit. It returns a result per id, in their order. A job that was cancelled
+// before is result.OK.
+func (in *Intake) Cancel(ctx context.Context, ids []string) []api.CancelResult {
+	out := make([]api.CancelResult, 0, len(ids))
+	for chunk := range slices.Chunk(ids, cancelChunk) {
+		out = append(out, in.cancelChunk(ctx, chunk)...)
+	}
+	return out
+}
+
+func (in *Intake) cancelChunk(ctx context.Context, ids []string) []api.CancelResult {
+	errs := make(map[string]error, len(ids))
+	for range cancelTries {
+		writes, shards := in.cancellation(ctx, ids, errs)
+		if len(writes) == 0 {
+			break
+		}
+		_, err := in.tables.Commit(ctx, writes)
+		if err == nil {
+			in.kick(shards)
+			break
+		}
+		if contract.OutcomeOf(err) == contract.Refused && !contract.IsConflict(err) {
+			markAll(errs, ids, result.Wrap(result.JournalAway, err, "cancel"))
+			break
+		}
+		// A conflict or a lost answer: read again. Repeating is safe.
+		markAll(errs, ids, result.Wrap(result.JobNotStored, err, "cancel"))
+		if !pause(ctx, retryPause) {
+			break
+		}
+	}
+	return results(ids, errs)
+}
+
+// cancellation reads the jobs and returns the writes that cancel those that are
+// not cancelled yet, and the shards concerned. It fills errs for each id.
+func (in *Intake) cancellation(ctx context.Context, ids []string, errs map[string]error) ([]contract.Write, []string) {
+	var writes []contract.Write
+	byShard := map[string][]string{}
+	seen := map[string]bool{}
+	for _, id := range ids {
+		if seen[id] {
+			continue
+		}
+		seen[id] = true
+		row, version, err := in.read(ctx, id)
+		errs[id] = err
+		if err != nil || row.Cancelled {
+			continue
+		}
+		row.Cancelled = true
+		writes = append(writes, contract.Write{Key: jobKey(id), If: contract.IfVersion, Version: version, Do: contract.Put, Value: encode(row)})
+		for _, s := range shardsOf(row.Parts) {
+			byShard[s] = append(byShard[s], id)
+		}
+	}
+	at, nonce := time.Now().UnixMilli(), uuid.NewString()
+	var shards []string
+	for s, jobs := range byShard {
+		shards = append(shards, s)
+		m := shard.Message{Cancel: slices.Compact(jobs)}
+		writes = append(writes, contract.Write{Key: shard.InboxKey(s, order(at, nonce)), If: contract.IfAbsent, Do: contract.Put, Value: m.Encode()})
+	}
+	return writes, shards
+}
+
+func markAll(errs map[string]error, ids []string, err error) {
+	for _, id := range ids {
+		if errs[id] == nil {
+			errs[id] = err
+		}
+	}
+}
+
+func results(ids []string, errs map[string]error) []api.CancelResult {
+	out := make([]api.CancelResult, len(ids))
+	for i, id := range ids {
+		out[i] = api.CancelResult{ID: id, Code: int(result.Of(errs[id]))}
+		if err := errs[id]; err != nil {
+			out[i].Detail = err.Error()
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/intake/gather.go
@@ -0,0 +1,199 @@
+package intake
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+
+	"skylarkport/internal/contract"
+	"skylarkport/internal/job"
+	"skylarkport/internal/member"
+	"skylarkport/internal/operator/api"
+	"skylarkport/internal/result"
+)
+
+const listPage = 500
+
+// Backend is the operators' view of the whole deployment, from any scheduler.
+type Backend struct {
+	*Intake
+	local *Local
+	group member.Group
+	// bundle returns the version of the bundle in force.
+	bundle func() uint64
+}
+
+// NewBackend joins the parts of the operators' view.
+func NewBackend(in *Intake, local *Local, group member.Group, bundle func() uint64) *Backend {
+	return &Backend{Intake: in, local: local, group: group, bundle: bundle}
+}
+
+// Cancel records the cancellations in as few commits as possible.
+func (b *Backend) Cancel(ctx context.Context, ids []string) (api.CancelReply, error) {
+	return api.CancelReply{Results: b.Intake.Cancel(ctx, ids)}, nil
+}
+
+// ask calls method at every live scheduler at once and hands each reply to
+// take. It reports whether one did not answer.
+func ask[T any](ctx context.Context, b *Backend, method string, params any, take func(T)) (incomplete bool) {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, p := range b.group.View().Peers {
+		if p.Program != member.Scheduler || p.State == member.Dead {
+			continue
+		}
+		wg.Go(func() {
+			var reply T
+			err := b.group.Call(ctx, p.ID, method, params, &reply)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				incomplete = true
+				return
+			}
+			take(reply)
+		})
+	}
+	wg.Wait()
+	return incomplete
+}
+
+// tasks gathers the tasks of the jobs by shard.
+func (b *Backend) tasks(ctx context.Context, jobs []string) map[string][]api.Task {
+	byShard := map[string][]api.Task{}
+	take := func(list []ShardTasks) {
+		for _, s := range list {
+			byShard[s.Shard] = append([]api.Task{}, s.Tasks...)
+		}
+	}
+	ask(ctx, b, methodTasks, TasksRequest{Jobs: jobs}, take)
+	take(b.local.Tasks(jobs))
+	return byShard
+}
+
+// Show returns one job, or result.JobUnknown.
+func (b *Backend) Show(ctx context.Context, id string) (api.Job, error) {
+	row, _, err := b.read(ctx, id)
+	if err != nil {
+		return api.Job{}, err
+	}
+	return assemble(row, b.tasks(ctx, []string{id})), nil
+}
+
+// List returns the jobs of kind, or all for an empty kind.
+func (b *Backend) List(ctx context.Context, kind job.Kind) (api.JobList, error) {
+	list := api.JobList{Jobs: []api.Job{}}
+	byShard := b.tasks(ctx, nil)
+	for from := ""; ; {
+		rows, err := b.tables.Scan(ctx, JobTable, from, "", listPage)
+		if err != nil {
+			return list, result.Wrap(result.Of(err), err, "list jobs")
+		}
+		if err := appendJobs(&list, rows, kind, byShard); err != nil {
+			return list, err
+		}
+		if len(rows) < listPage {
+			return list, nil
+		}
+		from = rows[len(rows)-1].Key.Row + "\x00"
+	}
+}
+
+func appendJobs(list *api.JobList, rows []contract.Row, kind job.Kind, byShard map[string][]api.Task) error {
+	for _, r := range rows {
+		row, err := decodeRow(r)
+		if err != nil {
+			return err
+		}
+		if kind != "" && row.Spec.Kind != kind {
+			continue
+		}
+		j := assemble(&row, byShard)
+		list.Incomplete = list.Incomplete || j.Incomplete
+		list.Jobs = append(list.Jobs, j)
+	}
+	return nil
+}
+
+// assemble joins a job's row with what the owners told. A task that its shard's
+// owner does not list is still in the inbox, or was dropped long after its end.
+func assemble(row *Row, byShard map[string][]api.Task) api.Job {
+	j := api.Job{Spec: row.Spec, Cancelled: row.Cancelled, Tasks: []api.Task{}}
+	known := map[int]api.Task{}
+	for _, tasks := range byShard {
+		for _, t := range tasks {
+			if t.Task.Job == row.Spec.ID {
+				known[t.Task.Index] = t
+			}
+		}
+	}
+	for _, p := range row.Parts {
+		_, answered := byShard[p.Shard]
+		j.Incomplete = j.Incomplete || !answered
+		for i := p.From; i < p.To; i++ {
+			t, ok := known[i]
+			if !ok {
+				t = unlisted(row, p, i, answered)
+			}
+			j.Tasks = append(j.Tasks, t)
+		}
+	}
+	slices.SortFunc(j.Tasks, func(a, b api.Task) int { return cmp.Compare(a.Task.Index, b.Task.Index) })
+	return j
+}
+
+func unlisted(row *Row, p Part, index int, answered bool) api.Task {
+	t := api.Task{Task: job.TaskID{Job: row.Spec.ID, Index: index}, Shard: p.Shard, State: api.TaskUnknown}
+	switch {
+	case answered && row.Cancelled:
+		t.State = api.TaskCancelled
+	case answered:
+		t.State, t.Reason = api.TaskWaiting, "the shard has not taken the task in yet"
+	default:
+		t.Reason = "the shard's owner does not answer"
+	}
+	return t
+}
+
+// Workers returns every worker that a live owner knows.
+func (b *Backend) Workers(ctx context.Context) (api.WorkerList, error) {
+	list := api.WorkerList{Workers: b.local.Workers()}
+	take := func(w []api.Worker) { list.Workers = append(list.Workers, w...) }
+	list.Incomplete = ask(ctx, b, methodWorkers, struct{}{}, take)
+	slices.SortFunc(list.Workers, func(a, b api.Worker) int { return cmp.Compare(a.ID, b.ID) })
+	return list, nil
+}
+
+// Status returns the deployment as this instance sees it.
+func (b *Backend) Status(ctx context.Context) (api.Status, error) {
+	self := b.group.Self()
+	s := api.Status{Instance: self.Instance, Zone: self.Zone, BundleVersion: b.bundle(), Shards: b.local.Status(), Peers: []api.Peer{}}
+	for _, p := range b.group.View().Peers {
+		s.Peers = append(s.Peers, api.Peer{ID: p.ID, Zone: p.Zone, State: string(p.State)})
+	}
+	take := func(list []api.Shard) { s.Shards = append(s.Shards, list...) }
+	s.Incomplete = ask(ctx, b, methodStatus, struct{}{}, take)
+	slices.SortFunc(s.Shards, func(a, b api.Shard) int { return cmp.Compare(a.Shard, b.Shard) })
+	return s, nil
+}
+
+// Explain returns the reasons kept for a job, task or worker.
+func (b *Backend) Explain(ctx context.Context, subject string) (api.Explanation, error) {
+	mine := b.local.Explain(subject)
+	e := api.Explanation{Subject: subject, State: mine.State, Events: mine.Events}
+	e.Incomplete = ask(ctx, b, methodExplain, ExplainRequest{Subject: subject}, func(r ExplainReply) {
+		e.Events = append(e.Events, r.Events...)
+		e.State = cmp.Or(e.State, r.State)
+	})
+	slices.SortStableFunc(e.Events, func(a, b api.Event) int { return cmp.Compare(b.Age, a.Age) })
+	if e.Events == nil {
+		e.Events = []api.Event{}
+	}
+	if e.State == "" && len(e.Events) == 0 {
+		return e, result.Errorf(result.JobUnknown, "nothing is kept about %s", subject)
+	}
+	return e, nil
+}
--- /dev/null
+++ b/internal/intake/submit.go
@@ -0,0 +1,155 @@
+package intake
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"skylarkport/internal/contract"
+	"skylarkport/internal/job"
+	"skylarkport/internal/result"
+	"skylarkport/internal/shard"
+)
+
+const (
+	retryPause  = 100 * time.Millisecond
+	cancelChunk = 50 // jobs in one commit
+)
+
+// Intake stores jobs and cancellations.
+type Intake struct {
+	tables contract.Tables
+	zones  []string
+	shards int // per zone
+	fleet  *shard.Fleet
+	// kick tells the owners of the shards that their inboxes have news.
+	kick func(shards []string)
+}
+
+// New returns an intake for the zones, each with the given number of shards.
+func New(tables contract.Tables, zones []string, shards int, fleet *shard.Fleet, kick func(shards []string)) *Intake {
+	return &Intake{tables: tables, zones: zones, shards: shards, fleet: fleet, kick: kick}
+}
+
+// Submit stores the job and hands its tasks to the shards, in one commit. It
+// reports false when the same job is stored already. Its errors:
+//   - result.JobBad: the description is not valid;
+//   - result.JobExists: a different job has the id;
+//   - result.JournalAway: nothing was stored;
+//   - result.JobNotStored: whether the job was stored is not known.
+func (in *Intake) Submit(ctx context.Context, spec job.Spec) (bool, error) {
+	spec = normal(spec)
+	if err := in.check(&spec); err != nil {
+		return false, err
+	}
+	row := Row{Spec: spec, Submitted: time.Now().UnixMilli(), Nonce: uuid.NewString()}
+	row.Parts = Divide(&spec, Targets(&spec, in.zones, in.shards, in.fleet))
+	created, err := in.store(ctx, &row)
+	if err == nil && created {
+		in.kick(shardsOf(row.Parts))
+	}
+	return created, err
+}
+
+func (in *Intake) check(spec *job.Spec) error {
+	if err := spec.Validate(); err != nil {
+		return err
+	}
+	for _, z := range spec.Zones {
+		if !slices.Contains(in.zones, z) {
+			return result.Errorf(result.JobBad, "zones: %q is not a zone of the deployment", z)
+		}
+	}
+	return nil
+}
+
+// store writes the row and the inbox rows until their fate is known. A lost
+// answer is resolved by reading; the same commit is sent again where the row is
+// absent.
+func (in *Intake) store(ctx context.Context, row *Row) (bool, error) {
+	writes := submission(row)
+	lost := false
+	for {
+		_, err := in.tables.Commit(ctx, writes)
+		if err == nil {
+			return true, nil
+		}
+		refused := contract.OutcomeOf(err) == contract.Refused && !contract.IsConflict(err)
+		lost = lost || contract.OutcomeOf(err) == contract.Unknown
+		if refused && !lost {
+			return false, result.Wrap(result.JournalAway, err, "store job "+row.Spec.ID)
+		}
+		if !refused {
+			stored, _, rerr := in.read(ctx, row.Spec.ID)
+			if rerr == nil {
+				return compare(row, stored)
+			}
+		}
+		if !pause(ctx, retryPause) {
+			return false, result.Wrap(result.JobNotStored, err, "job "+row.Spec.ID)
+		}
+	}
+}
+
+// compare tells this submission from an earlier one of the same or another job.
+func compare(row, stored *Row) (bool, error) {
+	if stored.Nonce == row.Nonce {
+		return true, nil
+	}
+	if !same(row.Spec, stored.Spec) {
+		return false, result.Errorf(result.JobExists, "%s", row.Spec.ID)
+	}
+	return false, nil
+}
+
+// submission returns the writes of a submission. Their order decides which
+// failed condition is reported: the job's.
+func submission(row *Row) []contract.Write {
+	writes := []contract.Write{{Key: jobKey(row.Spec.ID), If: contract.IfAbsent, Do: contract.Put, Value: encode(row)}}
+	for _, p := range row.Parts {
+		m := shard.Message{Admit: &shard.AdmitRecord{Spec: &row.Spec, Submitted: row.Submitted, From: p.From, To: p.To}}
+		writes = append(writes, contract.Write{
+			Key: shard.InboxKey(p.Shard, order(row.Submitted, row.Nonce)),
+			If:  contract.IfAbsent, Do: contract.Put, Value: m.Encode(),
+		})
+	}
+	return writes
+}
+
+// order names an inbox row: roughly by time, unique by its nonce.
+func order(ms int64, nonce string) string { return fmt.Sprintf("%015d-%s", ms, nonce) }
+
+// read returns a job's row and its version, or result.JobUnknown.
+func (in *Intake) read(ctx context.Context, id string) (*Row, uint64, error) {
+	r, err := in.tables.Read(ctx, jobKey(id))
+	if contract.IsNotFound(err) {
+		return nil, 0, result.Errorf(result.JobUnknown, "%s", id)
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	row, err := decodeRow(r)
+	return &row, r.Version, err
+}
+
+func shardsOf(parts []Part) []string {
+	out := make([]string, len(parts))
+	for i, p := range parts {
+		out[i] = p.Shard
+	}
+	return out
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/shard/accept.go
+++ b/internal/shard/accept.go
@@ -89,7 +89,7 @@
 		return
 	}
 	o.logger.WithField("run", rep.Run.String()).WithField("worker", w.inst.ID).
-		Warn("shard: the worker reports a run that is not recorded there")
+		Warn("the worker reports a run that is not recorded there")
 }
 
 // absent ends the runs whose stop was decided before any start could take
--- a/internal/shard/config.go
+++ b/internal/shard/config.go
@@ -50,6 +50,8 @@
 	Workers contract.Workers
 	// Fleet returns the shard's workers by the platform's list.
 	Fleet func() []contract.Instance
+	// Bundle returns the configuration in force, or nil.
+	Bundle func() *bundle.Bundle
 }
 
 // Policy decides; placement.Engine with placement.Decide is the one in use.
@@ -88,8 +90,7 @@
 // Message is a row of a shard's inbox.
 type Message struct {
 	Admit  *AdmitRecord  `json:"admit,omitempty"`
-	Cancel *CancelRecord `json:"cancel,omitempty"`
-	// Shard-to-shard and quota changes.
+	Cancel []string      `json:"cancel,omitempty"` // jobs
 	Escrow *EscrowChange `json:"escrow,omitempty"`
 }
 
--- a/internal/shard/cycle.go
+++ b/internal/shard/cycle.go
@@ -21,6 +21,7 @@
 			result.JournalAway, result.JournalAway, d.Round(time.Second)))
 		return
 	}
+	o.configure()
 	o.mu.Lock()
 	s := o.snapshot()
 	o.mu.Unlock()
@@ -32,6 +33,17 @@
 	}
 }
 
+// configure puts a newly accepted bundle in force.
+func (o *Owner) configure() {
+	if o.ext.Bundle == nil {
+		return
+	}
+	if b := o.ext.Bundle(); b != nil && b.Version != o.bundle {
+		o.bundle = b.Version
+		o.policy.Configure(b.Placement)
+	}
+}
+
 // suspend notes why waiting tasks are not looked at.
 func (o *Owner) suspend(reason string) {
 	o.mu.Lock()
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -173,7 +173,7 @@
 		w.stamp = lease.Stamp{}
 		return again
 	case result.WorkerEpoch:
-		o.logger.WithField("worker", w.inst.ID).Warn("shard: the worker follows a newer owner")
+		o.logger.WithField("worker", w.inst.ID).Warn("the worker follows a newer owner")
 	}
 	return false
 }
--- a/internal/shard/inbox.go
+++ b/internal/shard/inbox.go
@@ -79,7 +79,7 @@
 		}
 		var m Message
 		if err := json.Unmarshal(row.Value, &m); err != nil {
-			o.logger.WithError(err).WithField("row", row.Key.Row).Error("shard: unreadable message, dropped")
+			o.logger.WithError(err).WithField("row", row.Key.Row).Error("unreadable message, dropped")
 			o.take(row, nil)
 			continue
 		}
@@ -92,7 +92,11 @@
 	for _, row := range cancels {
 		var m Message
 		_ = json.Unmarshal(row.Value, &m) // was read above
-		o.take(row, o.cancel(m.Cancel))
+		var records []*Record
+		for _, id := range m.Cancel {
+			records = append(records, o.cancel(id)...)
+		}
+		o.take(row, records)
 	}
 }
 
@@ -135,9 +139,9 @@
 }
 
 // cancel returns the records of a cancellation: it and the stop of every run.
-func (o *Owner) cancel(c *CancelRecord) []*Record {
-	records := []*Record{{Cancel: c}}
-	j := o.st.Jobs[c.Job]
+func (o *Owner) cancel(id string) []*Record {
+	records := []*Record{{Cancel: &CancelRecord{Job: id}}}
+	j := o.st.Jobs[id]
 	if j == nil || j.Cancelled {
 		return records
 	}
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -25,6 +25,7 @@
 	logger log.Interface
 	start  time.Time
 	kicked chan struct{} // the inbox has news
+	bundle uint64        // version of the bundle in force; only cycle uses it
 
 	mu      sync.Mutex
 	st      *State // with everything that was decided
--- a/internal/shard/propose.go
+++ b/internal/shard/propose.go
@@ -127,7 +127,7 @@
 	go func() {
 		err := o.log.Snapshot(ctx, seq, body)
 		if err != nil && result.Of(err) != result.Deposed && ctx.Err() == nil {
-			o.logger.WithError(err).Warn("shard: snapshot failed")
+			o.logger.WithError(err).Warn("snapshot failed")
 		}
 		o.mu.Lock()
 		defer o.mu.Unlock()
--- a/internal/shard/view.go
+++ b/internal/shard/view.go
@@ -53,6 +53,21 @@
 	return out
 }
 
+// AllTasks returns the state of every task in the shard, in no order.
+func (o *Owner) AllTasks() []api.Task {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := []api.Task{}
+	for _, j := range o.st.Jobs {
+		for _, t := range j.Tasks {
+			if t.Phase != Moved {
+				out = append(out, o.task(t))
+			}
+		}
+	}
+	return out
+}
+
 func (o *Owner) task(t *Task) api.Task {
 	a := api.Task{
 		Task: t.ID, Shard: o.cfg.Shard, Attempt: t.Attempt, Progress: t.Resume,
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -141,7 +141,7 @@
 	w.send(m)
 }
 
-func (w *world) cancel(id string) { w.send(Message{Cancel: &CancelRecord{Job: id}}) }
+func (w *world) cancel(id string) { w.send(Message{Cancel: []string{id}}) }
 
 func (w *world) send(m Message) {
 	w.t.Helper()
