--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"skylarkport/internal/contract"
 	"skylarkport/internal/job"
 	"skylarkport/internal/lease"
@@ -33,6 +36,7 @@
 // converse exchanges with one worker until it is gone.
 func (o *Owner) converse(ctx context.Context, id string, slots chan struct{}) {
 	next := time.Duration(0)
+	spread := rand.New(rand.NewPCG(xxhash.Sum64String(o.cfg.Owner), xxhash.Sum64String(id)))
 	for {
 		o.mu.Lock()
 		w := o.workers[id]
@@ -47,7 +51,7 @@
 		}
 		soon := o.exchange(ctx, id)
 		<-slots
-		next = jitter(o.cfg.Exchange)
+		next = jitter(spread, o.cfg.Exchange)
 		if soon {
 			next = 0
 		}
@@ -75,7 +79,7 @@
 		return false
 	}
 	req := o.request(w)
-	addr := w.inst.Address
+	addr, lapsed := w.inst.Address, w.lapsed(o.now())
 	o.mu.Unlock()
 
 	ctx, cancel := context.WithTimeout(ctx, o.cfg.Grant/2)
@@ -88,8 +92,10 @@
 		return false
 	}
 	if err != nil {
+		w.silent = w.silent || lapsed
 		return o.refused(w, err)
 	}
+	w.silent = false
 	first := w.stamp.Worker == 0
 	o.accept(w, &req, &reply)
 	return first && o.promise.Until > o.now()
--- a/internal/shard/inbox.go
+++ b/internal/shard/inbox.go
@@ -55,26 +55,44 @@
 	if _, away := o.away(); away {
 		return ""
 	}
+	gone := o.consumed()
 	rows, err := o.ext.Tables.Scan(ctx, InboxTable, from, o.cfg.Shard+"0", inboxPage)
-	if err != nil || len(rows) == 0 {
+	if err != nil {
 		return ""
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.consume(rows)
+	for _, row := range gone {
+		delete(o.taken, row)
+	}
 	if len(rows) < inboxPage || o.err != nil {
 		return ""
 	}
 	return rows[len(rows)-1].Key.Row + "\x00"
 }
 
+// consumed returns the rows whose deletion is durable. A scan that began before
+// may still show them; one that begins now does not.
+func (o *Owner) consumed() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []string
+	for row, deleted := range o.taken {
+		if deleted {
+			out = append(out, row)
+		}
+	}
+	return out
+}
+
 // consume proposes the messages of a page. Each row is deleted in the commit
 // that records it. Submissions go before cancellations, whose order keys other
 // instances may have minted by other clocks.
 func (o *Owner) consume(rows []contract.Row) {
 	var cancels []contract.Row
 	for _, row := range rows {
-		if o.taken[row.Key.Row] {
+		if _, ok := o.taken[row.Key.Row]; ok {
 			continue
 		}
 		var m Message
@@ -102,12 +120,12 @@
 
 // take proposes records together with the deletion of the row they came from.
 func (o *Owner) take(row contract.Row, records []*Record) {
-	o.taken[row.Key.Row] = true
+	o.taken[row.Key.Row] = false
 	drop := contract.Write{Key: row.Key, If: contract.IfVersion, Version: row.Version, Do: contract.Delete}
 	if len(records) == 0 {
 		records = []*Record{{Promise: &PromiseRecord{Length: o.st.Promise}}}
 	}
-	o.propose(records, []contract.Write{drop}, func() { delete(o.taken, row.Key.Row) })
+	o.propose(records, []contract.Write{drop}, func() { o.taken[row.Key.Row] = true })
 }
 
 // admit returns the records of new tasks or quota.
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -41,7 +41,7 @@
 	workers map[string]*worker
 	runs    map[job.RunID]*track
 	tasks   map[job.TaskID]*wait
-	taken   map[string]bool // inbox rows whose consumption is on its way
+	taken   map[string]bool // inbox rows that were consumed; true once that is durable
 	events  ring
 	routes  feed.Version
 	fence   time.Duration // until when an earlier owner's grants may be in force
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -20,6 +20,7 @@
 	bound       time.Duration // after it no grant of this owner can be in force
 	fence       time.Duration // after it no grant of an earlier owner can be in force
 	answered    time.Duration // when it last answered; 0 for never
+	silent      bool          // a message sent after every lapse was not answered
 	capacity    resource.Vector
 	leaving     bool
 	changed     time.Duration               // the newest change of what runs on it
@@ -73,13 +74,14 @@
 	return placement.Healthy
 }
 
-// lapse ends the runs of workers whose grants have surely lapsed.
+// lapse ends the runs of workers whose grants have surely lapsed. An owner that
+// was paused asks the worker first, which knows how each run ended.
 func (o *Owner) lapse() {
 	now := o.now()
 	var records []*Record
 	for id, runs := range o.st.workers {
 		w := o.workerOf(id)
-		if !w.lapsed(now) {
+		if !w.lapsed(now) || !w.silent && w.inst.Address != "" {
 			continue
 		}
 		for _, r := range runs {
@@ -112,8 +114,8 @@
 }
 
 // jitter spreads exchanges over the interval.
-func jitter(d time.Duration) time.Duration {
-	return d*9/10 + rand.N(d/5+1)
+func jitter(r *rand.Rand, d time.Duration) time.Duration {
+	return d*9/10 + time.Duration(r.Int64N(int64(d/5)+1))
 }
 
 func jobDuration(d time.Duration) job.Duration { return job.Duration(d) }
