--- /dev/null
+++ b/internal/bundle/examples_test.go
@@ -0,0 +1,22 @@
+package bundle
+
+import (
+	"path/filepath"
+	"testing"
+)
+
+// TestExamples checks the first bundles of the examples, and that the next bundle
+// can be signed off.
+func TestExamples(t *testing.T) {
+	for _, deployment := range []string{"dosanko", "cymru"} {
+		t.Run(deployment, func(t *testing.T) {
+			b, err := LoadInitial(filepath.Join("../../examples", deployment, "bundle.json"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if b.SignOffs != 2 || len(b.Reviewers) < 3 || len(b.Services) == 0 || len(b.Tenants) == 0 {
+				t.Errorf("%+v", b)
+			}
+		})
+	}
+}
