--- a/internal/shard/accept.go
+++ b/internal/shard/accept.go
@@ -114,7 +114,7 @@
 	if !w.leaving && w.inst.State != contract.Leaving {
 		return nil
 	}
-	if _, away := o.away(); away {
+	if o.away() != nil {
 		return nil
 	}
 	var records []*Record
--- a/internal/shard/cycle.go
+++ b/internal/shard/cycle.go
@@ -16,9 +16,9 @@
 // cycle takes one snapshot, lets the policy decide on it and applies the plan.
 // Nothing new is decided while decisions cannot be recorded.
 func (o *Owner) cycle(context.Context) {
-	if d, away := o.away(); away {
+	if a := o.away(); a != nil {
 		o.suspend(fmt.Sprintf("%d %s: the platform's tables have not answered for %v",
-			result.JournalAway, result.JournalAway, d.Round(time.Second)))
+			result.JournalAway, result.JournalAway, time.Since(a.Since).Round(time.Second)))
 		return
 	}
 	o.configure()
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -110,8 +110,7 @@
 	if w.incarnation == "" || w.stamp.Worker == 0 {
 		return req
 	}
-	_, away := o.away()
-	grant := o.promise.Choose(w.stamp, o.cfg.Grant, away)
+	grant := o.promise.Choose(w.stamp, o.cfg.Grant, o.away() != nil)
 	if grant <= 0 || o.now() >= lease.Bound(w.stamp, grant) {
 		return req
 	}
--- a/internal/shard/inbox.go
+++ b/internal/shard/inbox.go
@@ -52,11 +52,9 @@
 	if from == "" {
 		from = prefix
 	}
-	if _, away := o.away(); away {
-		return ""
-	}
 	gone := o.consumed()
 	rows, err := o.ext.Tables.Scan(ctx, InboxTable, from, o.cfg.Shard+"0", inboxPage)
+	o.unread.note(err)
 	if err != nil {
 		return ""
 	}
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -27,6 +27,8 @@
 	kicked chan struct{} // the inbox has news
 	bundle uint64        // version of the bundle in force; only cycle uses it
 
+	unread unread
+
 	mu      sync.Mutex
 	st      *State // with everything that was decided
 	durable *State // with what the journal holds
--- a/internal/shard/propose.go
+++ b/internal/shard/propose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"skylarkport/internal/contract"
@@ -158,11 +159,25 @@
 	})
 }
 
-// away reports since when nothing can be recorded, or false.
-func (o *Owner) away() (time.Duration, bool) {
-	a := o.log.Away()
-	if a == nil {
-		return 0, false
+// away reports since when and why the tables do not answer, or nil. An owner
+// that has nothing to record learns it from reading its inbox.
+func (o *Owner) away() *journal.Away {
+	if a := o.log.Away(); a != nil {
+		return a
+	}
+	return o.unread.since.Load()
+}
+
+// unread says since when the inbox cannot be read.
+type unread struct {
+	since atomic.Pointer[journal.Away]
+}
+
+func (u *unread) note(err error) {
+	switch {
+	case err == nil:
+		u.since.Store(nil)
+	case u.since.Load() == nil:
+		u.since.Store(&journal.Away{Since: time.Now(), Err: err})
 	}
-	return time.Since(a.Since), true
 }
--- a/internal/shard/view.go
+++ b/internal/shard/view.go
@@ -22,7 +22,7 @@
 		Shard: o.cfg.Shard, Owner: o.cfg.Owner, Epoch: o.log.Epoch(),
 		Workers: len(o.workers), Waiting: len(o.st.waiting), Running: len(o.runs), Platform: "ok",
 	}
-	if a := o.log.Away(); a != nil {
+	if a := o.away(); a != nil {
 		s.Platform = a.Err.Error()
 	}
 	return s
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -31,6 +31,9 @@
 // elsewhere is an observer that no cut concerns.
 var elsewhere = platform.From{Zone: "elsewhere", Instance: "observer"}
 
+// placementDefaults is a bundle that leaves everything out.
+var placementDefaults = bundle.Placement{}
+
 // world is the stand-in platform with owners of one shard, in virtual time.
 type world struct {
 	t       *testing.T
