Leases: a grant from a newer stamp replaces the one in force

Cause: long grants given in an outage stayed at the workers, so that the work of a worker that died after a four-second failure waited for the promise. Change: the contract lets a newer grant shorten the lease; the owner's bound follows the lease end that the worker reports, and grants whose answer was lost still count; owners grant long only after half a usual grant of outage. Figures: a worker that dies in or after an outage: repaired within 30 s in all three cases (TestShortGrantsAfterOutage).

--- a/internal/contract/worker.go
+++ b/internal/contract/worker.go
@@ -13,7 +13,9 @@
 //
 // The grant covers all runs of the worker. It counts from Stamp, a reading of
 // the worker's monotonic clock that the worker returned earlier, so a delayed
-// message cannot stretch it. When the grant lapses the worker stops every run.
+// message cannot stretch it. A grant that counts from a stamp at least as new as
+// that of the grant in force replaces it, also where it ends sooner. When the
+// grant lapses the worker stops every run.
 type Workers interface {
 	// Exchange sends req to the worker at addr. The worker refuses it whole,
 	// without effect, with result.WorkerEpoch when req.Epoch is below the
--- a/internal/shard/accept.go
+++ b/internal/shard/accept.go
@@ -17,8 +17,7 @@
 	w.stamp = lease.Stamp{Worker: reply.Stamp, Received: now}
 	w.capacity, w.leaving = reply.Capacity, reply.Leaving
 	if reply.LeaseEnd != 0 {
-		left := time.Duration(max(0, reply.LeaseEnd-reply.Stamp))
-		w.fence = min(w.fence, now+lease.Stretch(left))
+		w.granted(now, req.Stamp, time.Duration(max(0, reply.LeaseEnd-reply.Stamp)))
 	}
 	for _, id := range req.Forget {
 		delete(w.late, id)
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -79,7 +79,7 @@
 		return false
 	}
 	req := o.request(w)
-	addr, lapsed := w.inst.Address, w.lapsed(o.now())
+	addr, lapsed, stamp := w.inst.Address, w.lapsed(o.now()), w.stamp
 	o.mu.Unlock()
 
 	ctx, cancel := context.WithTimeout(ctx, o.cfg.Grant/2)
@@ -93,6 +93,9 @@
 	}
 	if err != nil {
 		w.silent = w.silent || lapsed
+		if req.Stamp != 0 && contract.OutcomeOf(err) == contract.Unknown {
+			w.sent(req.Stamp, lease.Bound(stamp, req.Grant.D()))
+		}
 		return o.refused(w, err)
 	}
 	w.silent = false
@@ -110,7 +113,7 @@
 	if w.incarnation == "" || w.stamp.Worker == 0 {
 		return req
 	}
-	grant := o.promise.Choose(w.stamp, o.cfg.Grant, o.away() != nil)
+	grant := o.promise.Choose(w.stamp, o.cfg.Grant, o.outage())
 	if grant <= 0 || o.now() >= lease.Bound(w.stamp, grant) {
 		return req
 	}
@@ -127,6 +130,14 @@
 	return req
 }
 
+// outage reports whether the tables have been away for long enough to grant up
+// to the promise. A short failure does not count: after it, the work of a worker
+// that died meanwhile would have to wait for the long grant.
+func (o *Owner) outage() bool {
+	a := o.away()
+	return a != nil && time.Since(a.Since) >= o.cfg.Grant/2
+}
+
 // order adds what the worker is to do with one run.
 func (o *Owner) order(req *contract.ExchangeRequest, r *Run, t *track, bound time.Duration) {
 	switch {
--- a/internal/shard/outage_test.go
+++ b/internal/shard/outage_test.go
@@ -141,3 +141,39 @@
 		w.mustAudit(history.Expect{Job: "renewal", Finished: 4})
 	})
 }
+
+// TestShortGrantsAfterOutage: long grants that an outage called for do not delay
+// the repair of a worker that dies after it, nor of one that dies in a short
+// failure of the tables.
+func TestShortGrantsAfterOutage(t *testing.T) {
+	tests := []struct {
+		name   string
+		outage time.Duration
+		died   time.Duration // after the start of the outage
+	}{
+		{"dies in a short failure", 4 * time.Second, 3 * time.Second},
+		{"dies after a short failure", 4 * time.Second, 8 * time.Second},
+		{"dies after an outage", 5 * time.Minute, 5*time.Minute + 8*time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 4, settings.Standin{})
+				a := w.mustOpen("a")
+				w.submit(service("confirm", 4))
+				time.Sleep(time.Minute)
+				if err := w.sys.Inject(standin.Fault{Kind: standin.Down, Target: "tables", For: job.Duration(tt.outage)}); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(tt.died)
+				w.kill(w.fleet()[0].ID)
+				time.Sleep(30 * time.Second)
+				if got := w.states(a.o, "confirm"); got != "running=4" {
+					t.Errorf("30 s after the worker's death: %s, want running=4", got)
+				}
+				w.close()
+				w.mustAudit()
+			})
+		})
+	}
+}
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -11,6 +11,13 @@
 	"skylarkport/internal/resource"
 )
 
+// looseGrant is a grant whose message may still arrive at the worker. It cannot
+// take effect once a grant from a newer stamp was accepted.
+type looseGrant struct {
+	stamp int64 // newest
+	bound time.Duration
+}
+
 // worker is what the owner knows of a worker.
 type worker struct {
 	inst        contract.Instance
@@ -18,6 +25,7 @@
 	incarnation string
 	stamp       lease.Stamp
 	bound       time.Duration // after it no grant of this owner can be in force
+	loose       looseGrant    // sent without an answer
 	fence       time.Duration // after it no grant of an earlier owner can be in force
 	answered    time.Duration // when it last answered; 0 for never
 	silent      bool          // a message sent after every lapse was not answered
@@ -42,6 +50,24 @@
 // lapsed reports whether no grant can be in force at the worker.
 func (w *worker) lapsed(now time.Duration) bool { return now > w.bound && now > w.fence }
 
+// sent notes a grant that was sent and not answered.
+func (w *worker) sent(stamp int64, bound time.Duration) {
+	w.loose = looseGrant{stamp: max(w.loose.stamp, stamp), bound: max(w.loose.bound, bound)}
+}
+
+// granted takes in what an answer says of the grant in force. left is what was
+// left of it when the worker answered; req is the stamp of the accepted grant.
+func (w *worker) granted(now time.Duration, req int64, left time.Duration) {
+	if req > w.loose.stamp {
+		w.loose = looseGrant{}
+	}
+	end := now + lease.Stretch(left)
+	w.fence = min(w.fence, end)
+	if req != 0 {
+		w.bound = max(end, w.loose.bound)
+	}
+}
+
 // syncFleet takes the platform's list in. A worker that left the list is kept
 // while it may hold runs.
 func (o *Owner) syncFleet() {
--- a/internal/standin/exchange.go
+++ b/internal/standin/exchange.go
@@ -33,7 +33,7 @@
 	}
 	w.epoch = max(w.epoch, req.Epoch)
 	if req.Stamp != 0 {
-		w.expiry = max(w.expiry, time.Duration(req.Stamp)+req.Grant.D())
+		w.grantLocked(req)
 		w.ordersLocked(req)
 	}
 	w.sampleLocked()
@@ -64,6 +64,15 @@
 	return nil
 }
 
+// grantLocked replaces the grant in force by one from a stamp that is as new.
+func (w *worker) grantLocked(req contract.ExchangeRequest) {
+	if req.Stamp < w.granted {
+		return
+	}
+	w.granted = req.Stamp
+	w.expiry = time.Duration(req.Stamp) + req.Grant.D()
+}
+
 func (w *worker) ordersLocked(req contract.ExchangeRequest) {
 	for _, o := range req.Stop {
 		w.stopLocked(o)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -29,6 +29,7 @@
 	booted      time.Time
 	incarnation string
 	epoch       uint64        // highest seen
+	granted     int64         // stamp of the grant in force
 	expiry      time.Duration // end of the grant on the worker's clock; zero for none
 	settled     time.Duration // the worker's clock up to which progress is counted
 	runs        map[job.RunID]*taskRun
@@ -57,6 +58,7 @@
 	w.incarnation = fmt.Sprintf("%s#%d", w.inst.ID, w.boots)
 	w.epoch = 0
 	w.expiry = 0
+	w.granted = 0
 	w.settled = clockBase
 	w.runs = map[job.RunID]*taskRun{}
 	w.order = nil
