Life cycle of bundles under faults: 64 cells, racing operators, fuzzing

Cause: an acceptance must take effect once whatever answer is lost. Change: tests put four faults at every call of every step, let five operators race, and list what is refused; FuzzParse checks the canonical form.

--- a/internal/bundle/fakes_test.go
+++ b/internal/bundle/fakes_test.go
@@ -36,6 +36,7 @@
 	objects map[string][]byte
 	fault   fault
 	once    bool // the fault goes away after one call
+	skip    int  // calls before the fault
 	reads   int
 }
 
@@ -51,14 +52,31 @@
 func (p *platform) set(f fault, once bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.fault, p.once = f, once
+	p.fault, p.once, p.skip = f, once, 0
+}
+
+// setAt lets skip calls pass and then sets f for one call.
+func (p *platform) setAt(f fault, skip int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault, p.once, p.skip = f, true, skip
+}
+
+// pending reports whether the fault was not met yet.
+func (p *platform) pending() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.once
 }
 
 // meet runs do unless the fault forbids it, and returns the call's error.
 func (p *platform) meet(ctx context.Context, do func() error) error {
 	p.mu.Lock()
 	f := p.fault
-	if p.once {
+	if p.skip > 0 {
+		p.skip--
+		f = none
+	} else if p.once {
 		p.fault, p.once = none, false
 	}
 	p.mu.Unlock()
--- /dev/null
+++ b/internal/bundle/lifecycle_test.go
@@ -0,0 +1,462 @@
+package bundle
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"skylarkport/internal/job"
+	"skylarkport/internal/resource"
+	"skylarkport/internal/result"
+)
+
+// operatorWait bounds an operator's call.
+const operatorWait = 20 * time.Second
+
+// lifecycle returns a life cycle of its own on p.
+func lifecycle(p *platform, strands Strands) *Lifecycle {
+	return NewLifecycle(p, objectStore{p}, initial(), nil, strands)
+}
+
+// step is one call of the life cycle.
+type step struct {
+	name string
+	do   func(ctx context.Context, l *Lifecycle, b *Bundle, hash string) error
+}
+
+func steps(t *testing.T) []step {
+	sign := func(name string) func(context.Context, *Lifecycle, *Bundle, string) error {
+		return func(ctx context.Context, l *Lifecycle, _ *Bundle, hash string) error {
+			return l.Sign(ctx, Sign(reviewerKey(name), name, hash))
+		}
+	}
+	return []step{
+		{"propose", func(ctx context.Context, l *Lifecycle, b *Bundle, _ string) error {
+			_, err := l.Propose(ctx, encode(t, b), b.Author)
+			return err
+		}},
+		{"sign", sign("ai")},
+		{"sign again", sign("bo")},
+		{"review", func(ctx context.Context, l *Lifecycle, _ *Bundle, hash string) error {
+			r, err := l.Review(ctx, hash)
+			if err == nil && (len(r.SignOffs) != 2 || r.Needed != 2 || len(r.Reasons) > 0 || len(r.Changes) == 0) {
+				t.Errorf("Review() = %+v", r)
+			}
+			return err
+		}},
+		{"accept", func(ctx context.Context, l *Lifecycle, b *Bundle, hash string) error {
+			head, err := l.Accept(ctx, hash)
+			if err == nil && head != (Head{b.Version, hash, b.Author}) {
+				t.Errorf("Accept() = %+v", head)
+			}
+			return err
+		}},
+	}
+}
+
+// callsPerStep is more than the calls to the platform in any step; callsOfAll is
+// their sum: three each to propose, sign twice and review, and four to accept.
+const (
+	callsPerStep = 10
+	callsOfAll   = 16
+)
+
+// TestFaultMatrix puts every fault at every call of every step. A step that
+// fails is repeated by the operator. In the end the bundle is accepted once.
+func TestFaultMatrix(t *testing.T) {
+	cells := 0
+	for i, faulty := range steps(t) {
+		for _, f := range []fault{down, slow, lost, late} {
+			for call := range callsPerStep {
+				synctest.Test(t, func(t *testing.T) {
+					if runCell(t, i, f, call) {
+						cells++
+					}
+				})
+				if t.Failed() {
+					t.Fatalf("%s at call %d of %s", f, call, faulty.name)
+				}
+			}
+		}
+	}
+	t.Logf("%d cells met their fault", cells)
+	if want := callsOfAll * 4; cells != want {
+		t.Errorf("%d cells met their fault, want %d", cells, want)
+	}
+}
+
+// runCell runs the life cycle with one fault and reports whether it was met.
+func runCell(t *testing.T, faulty int, f fault, call int) bool {
+	p := newPlatform()
+	l := lifecycle(p, nil)
+	b := next(initial(), "ops", "x")
+	b.Tenants = append(b.Tenants, Tenant{Name: "new", Weight: 1})
+	hash := HashOf(encode(t, b))
+	met := false
+	for i, s := range steps(t) {
+		if i == faulty {
+			p.setAt(f, call)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), operatorWait)
+		err := s.do(ctx, l, b, hash)
+		cancel()
+		if i == faulty {
+			met = !p.pending()
+			p.set(none, false)
+		}
+		if err == nil {
+			continue
+		}
+		if i != faulty || !met {
+			t.Errorf("%s failed without a fault: %v", s.name, err)
+		}
+		if err := s.do(t.Context(), l, b, hash); err != nil {
+			t.Errorf("%s failed again after %s at call %d: %v", s.name, f, call, err)
+		}
+	}
+	checkAccepted(t, p, l, Head{1, hash, "ops"})
+	return met
+}
+
+func checkAccepted(t *testing.T, p *platform, l *Lifecycle, want Head) {
+	t.Helper()
+	st, err := l.Status(t.Context())
+	if err != nil || st.Current != want || len(st.Proposals) != 0 {
+		t.Errorf("Status() = %+v, %v", st, err)
+	}
+	if row := p.rows[currentKey]; row.Version != want.Version {
+		t.Errorf("the current row was written %d times for version %d", row.Version, want.Version)
+	}
+	if b, err := l.Version(t.Context(), want.Version); err != nil || b.Version != want.Version {
+		t.Errorf("Version() = %+v, %v", b, err)
+	}
+}
+
+// TestRace checks that of operators who race one wins, and that the others learn
+// who, under every fault of the acceptance.
+func TestRace(t *testing.T) {
+	const operators = 5
+	for _, f := range []fault{none, slow, lost, late} {
+		t.Run(string(f), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPlatform()
+				l := lifecycle(p, nil)
+				hashes := make([]string, operators)
+				for i := range hashes {
+					b := next(initial(), fmt.Sprint("op", i), fmt.Sprint("change ", i))
+					hashes[i] = proposeSigned(t, l, b)
+				}
+				p.setAt(f, 3) // falls into the acceptance of one of them
+				errs := make([]error, operators)
+				var wg sync.WaitGroup
+				for i := range operators {
+					wg.Go(func() { _, errs[i] = lifecycle(p, nil).Accept(t.Context(), hashes[i]) })
+				}
+				wg.Wait()
+				for i := range errs {
+					if code := result.Of(errs[i]); code != result.OK && code != result.BundleConflict && code != result.BundleOutdated {
+						_, errs[i] = l.Accept(t.Context(), hashes[i]) // the answer was lost: ask again
+					}
+				}
+				checkRace(t, l, hashes, errs)
+			})
+		})
+	}
+}
+
+func checkRace(t *testing.T, l *Lifecycle, hashes []string, errs []error) {
+	t.Helper()
+	st, err := l.Status(t.Context())
+	if err != nil || st.Current.Version != 1 {
+		t.Fatalf("Status() = %+v, %v", st, err)
+	}
+	for i, err := range errs {
+		won := hashes[i] == st.Current.Hash
+		if won && err != nil {
+			t.Errorf("the winner got %v", err)
+		}
+		if !won && (result.Of(err) != result.BundleConflict || !strings.Contains(err.Error(), st.Current.Author)) {
+			t.Errorf("a loser got %v, want a conflict that names %s", err, st.Current.Author)
+		}
+	}
+}
+
+// proposeSigned stores b with two sign-offs and returns its hash.
+func proposeSigned(t *testing.T, l *Lifecycle, b *Bundle) string {
+	t.Helper()
+	p, err := l.Propose(t.Context(), encode(t, b), b.Author)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"ai", "bo", "cy"} {
+		if name == b.Author {
+			continue
+		}
+		if err := l.Sign(t.Context(), Sign(reviewerKey(name), name, p.Hash)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return p.Hash
+}
+
+// TestSameAccepted checks that two operators may accept the same bundle, and that
+// an acceptance can be asked for again after newer versions.
+func TestSameAccepted(t *testing.T) {
+	p := newPlatform()
+	l := lifecycle(p, nil)
+	first := proposeSigned(t, l, next(initial(), "ops", "1"))
+	for range 2 {
+		if _, err := l.Accept(t.Context(), first); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b1, err := l.Version(t.Context(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second := proposeSigned(t, l, next(b1, "ops", "2"))
+	if _, err := l.Accept(t.Context(), second); err != nil {
+		t.Fatal(err)
+	}
+	if head, err := l.Accept(t.Context(), first); err != nil || head.Version != 1 {
+		t.Errorf("Accept() of version 1 again = %+v, %v", head, err)
+	}
+	checkAccepted(t, p, l, Head{2, second, "ops"})
+	changes, err := l.Diff(t.Context(), 1, 2)
+	if err != nil || len(changes) != 0 {
+		t.Errorf("Diff() = %v, %v", changes, err)
+	}
+}
+
+// TestRefused checks the code of everything that is refused before acceptance.
+func TestRefused(t *testing.T) {
+	valid := next(initial(), "ops", "x")
+	tests := []struct {
+		name string
+		do   func(l *Lifecycle) error
+		want result.Code
+		text string // part of the error
+	}{
+		{"every reason at once", func(l *Lifecycle) error {
+			b := *valid
+			b.Author, b.SignOffs = "", 9
+			b.Tenants = []Tenant{{Name: "a", Weight: 0}, {Name: "a", Weight: 1}}
+			_, err := l.Propose(t.Context(), encode(t, &b), "")
+			for _, part := range []string{"author", "sign_offs", "tenants[0].weight", "tenants[1].name"} {
+				if !strings.Contains(err.Error(), part) {
+					t.Errorf("%v lacks %s", err, part)
+				}
+			}
+			return err
+		}, result.BundleBad, "author"},
+		{"unknown field", func(l *Lifecycle) error {
+			_, err := l.Propose(t.Context(), []byte(`{"author": "ops", "tenents": []}`), "")
+			return err
+		}, result.BundleBad, "tenents"},
+		{"another author", func(l *Lifecycle) error {
+			_, err := l.Propose(t.Context(), encode(t, valid), "mallory")
+			return err
+		}, result.BundleBad, "mallory"},
+		{"old base", func(l *Lifecycle) error {
+			b := *valid
+			b.Base, b.Version = 4, 5
+			_, err := l.Propose(t.Context(), encode(t, &b), "")
+			return err
+		}, result.BundleOutdated, "4"},
+		{"version not above the base", func(l *Lifecycle) error {
+			b := *valid
+			b.Version = 7
+			_, err := l.Propose(t.Context(), encode(t, &b), "")
+			return err
+		}, result.BundleBad, "version"},
+		{"unknown hash", func(l *Lifecycle) error { _, err := l.Accept(t.Context(), "00"); return err }, result.BundleUnknown, "00"},
+		{"no sign-offs", func(l *Lifecycle) error {
+			p, err := l.Propose(t.Context(), encode(t, valid), "ops")
+			if err != nil {
+				return err
+			}
+			_, err = l.Accept(t.Context(), p.Hash)
+			return err
+		}, result.BundleUnsigned, "0 of 2"},
+		{"the author signs", func(l *Lifecycle) error {
+			p, err := l.Propose(t.Context(), encode(t, next(initial(), "ai", "x")), "ai")
+			if err != nil {
+				return err
+			}
+			return l.Sign(t.Context(), Sign(reviewerKey("ai"), "ai", p.Hash))
+		}, result.BundleSelfReview, "ai"},
+		{"a stranger signs", func(l *Lifecycle) error {
+			p, err := l.Propose(t.Context(), encode(t, valid), "ops")
+			if err != nil {
+				return err
+			}
+			return l.Sign(t.Context(), Sign(reviewerKey("xx"), "xx", p.Hash))
+		}, result.BundleSignature, "xx"},
+		{"another key signs", func(l *Lifecycle) error {
+			p, err := l.Propose(t.Context(), encode(t, valid), "ops")
+			if err != nil {
+				return err
+			}
+			return l.Sign(t.Context(), Sign(reviewerKey("xx"), "bo", p.Hash))
+		}, result.BundleSignature, "bo"},
+		{"a signature of another bundle", func(l *Lifecycle) error {
+			p, err := l.Propose(t.Context(), encode(t, valid), "ops")
+			if err != nil {
+				return err
+			}
+			sign := Sign(reviewerKey("bo"), "bo", "other")
+			sign.Hash = p.Hash
+			return l.Sign(t.Context(), sign)
+		}, result.BundleSignature, "bo"},
+		{"no first bundle", func(l *Lifecycle) error {
+			l.initial = nil
+			p, err := l.Propose(t.Context(), encode(t, valid), "ops")
+			if err != nil {
+				return err
+			}
+			_, err = l.Accept(t.Context(), p.Hash)
+			return err
+		}, result.BundleUnknown, "bundle_file"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newPlatform()
+			err := tt.do(lifecycle(p, nil))
+			if result.Of(err) != tt.want || !strings.Contains(err.Error(), tt.text) {
+				t.Errorf("got %v, want code %d with %q", err, tt.want, tt.text)
+			}
+			if _, ok := p.rows[currentKey]; ok {
+				t.Error("something was accepted")
+			}
+		})
+	}
+}
+
+// TestStrands checks that a bundle that would strand running work is refused with
+// every reason, and that a check that fails refuses too.
+func TestStrands(t *testing.T) {
+	running := func(_ context.Context, now, nextBundle *Bundle) ([]Reason, error) {
+		var out []Reason
+		for _, c := range Diff(now, nextBundle) {
+			if c.Kind == Removed {
+				out = append(out, Reason{c.Path, "kept, 3 tasks run"})
+			}
+		}
+		return out, nil
+	}
+	p := newPlatform()
+	l := lifecycle(p, running)
+	b := next(initial(), "ops", "x")
+	b.Tenants, b.Services = nil, nil
+	hash := proposeSigned(t, l, b)
+	r, err := l.Review(t.Context(), hash)
+	if err != nil || len(r.Reasons) != 2 {
+		t.Errorf("Review() = %+v, %v", r.Reasons, err)
+	}
+	_, err = l.Accept(t.Context(), hash)
+	if result.Of(err) != result.BundleStrands || !strings.Contains(err.Error(), "tenants[teiki]") || !strings.Contains(err.Error(), "services[confirm]") {
+		t.Errorf("Accept() = %v", err)
+	}
+	away := func(context.Context, *Bundle, *Bundle) ([]Reason, error) {
+		return nil, result.Errorf(result.PlatformRefused, "away")
+	}
+	if _, err := lifecycle(p, away).Accept(t.Context(), hash); result.Of(err) != result.PlatformRefused {
+		t.Errorf("Accept() without the check = %v", err)
+	}
+	if _, ok := p.rows[currentKey]; ok {
+		t.Error("something was accepted")
+	}
+}
+
+func TestDiff(t *testing.T) {
+	a := initial()
+	tests := []struct {
+		name   string
+		change func(b *Bundle)
+		want   string
+	}{
+		{"nothing", func(*Bundle) {}, ""},
+		{"author and note", func(b *Bundle) { b.Author, b.Note = "x", "y" }, ""},
+		{"empty list", func(b *Bundle) { b.Services[0].NotIdempotent = []Route{} }, ""},
+		{
+			"tenant added", func(b *Bundle) { b.Tenants = append(b.Tenants, Tenant{Name: "n", Weight: 2}) },
+			`+ tenants[n] {"name":"n","weight":2,"quota":{"milli_cpu":0,"memory_mb":0,"accelerators":0}}`,
+		},
+		{
+			"tenant removed", func(b *Bundle) { b.Tenants = nil },
+			`- tenants[teiki] {"name":"teiki","weight":10,"quota":{"milli_cpu":0,"memory_mb":0,"accelerators":0}}`,
+		},
+		{
+			"quota", func(b *Bundle) { b.Tenants[0].Quota = resource.Vector{MilliCPU: 5} },
+			`~ tenants[teiki].quota {"milli_cpu":0,"memory_mb":0,"accelerators":0} -> {"milli_cpu":5,"memory_mb":0,"accelerators":0}`,
+		},
+		{"timeout", func(b *Bundle) { b.Services[0].Timeout = job.Duration(2 * time.Second) }, `~ services[confirm].timeout "1s" -> "2s"`},
+		{"weight", func(b *Bundle) { b.Placement.TailWeight = 2 }, `~ placement.tail_weight 0 -> 2`},
+		{"sign-offs", func(b *Bundle) { b.SignOffs = 1 }, `~ sign_offs 2 -> 1`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := initial()
+			tt.change(b)
+			var got []string
+			for _, c := range Diff(a, b) {
+				got = append(got, c.String())
+			}
+			if strings.Join(got, "\n") != tt.want {
+				t.Errorf("Diff() = %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// FuzzParse checks that what passes has one canonical form, and that a refusal
+// has the code of a bad bundle.
+func FuzzParse(f *testing.F) {
+	body, err := Encode(next(initial(), "ops", "x"))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(body)
+	for _, text := range []string{
+		``, `{}`, `[]`, `null`, `{"author": "a"}`, `{"author": "a", "base": 18446744073709551615}`,
+		`{"author": "a", "tenants": [{"name": "t", "weight": 1}]}`, `{"author": "a", "tenants": null}`,
+		`{"author": "a", "services": [{"name": "s", "timeout": "1s", "class": "latency", "retry_ratio": 1e999}]}`,
+		`{"author": "a", "services": [{"name": "s", "timeout": "1s", "class": "batch", "idempotent": [{"prefix": "/<&>"}]}]}`,
+		`{"author": "a", "placement": {"window": "9999999h"}}`, `{"author": "a", "author": "b"}`, `{"author": "\ud800"}`,
+		strings.Replace(string(body), `"sign_offs":2`, `"sign_offs":4`, 1),
+	} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		b, err := Parse(data)
+		if err != nil {
+			if result.Of(err) != result.BundleBad {
+				t.Fatalf("refused with %v", err)
+			}
+			return
+		}
+		body, err := Encode(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := decodeBody(body, HashOf(body))
+		if err != nil {
+			t.Fatalf("the canonical body is refused: %v", err)
+		}
+		back, err := Encode(again)
+		if err != nil || string(back) != string(body) {
+			t.Fatalf("not canonical: %s and %s, %v", body, back, err)
+		}
+		if d := Diff(b, again); len(d) > 0 {
+			t.Fatalf("Diff() of the same = %v", d)
+		}
+		if !json.Valid(body) {
+			t.Fatal("not JSON")
+		}
+	})
+}
