Scheduler joined to bundles and keys; daemons share their command line

Cause: the scheduler ran without a configuration in force and its operator API in clear; three daemons would have had three copies of run, check and version. Change: the keeper and the life cycle of bundles run in the scheduler; a bundle that would strand running work is refused with every reason, and is refused while an owner does not answer; the operator API uses mutual TLS where keys are set; package daemon holds the commands and the two signals. Before: no bundle in a scheduler. Conclusion: configuration governs placement as soon as it is accepted.

--- a/cmd/skylark-scheduler/main.go
+++ b/cmd/skylark-scheduler/main.go
@@ -3,20 +3,13 @@
 package main
 
 import (
-	"context"
-	"flag"
 	"os"
 
-	"github.com/google/subcommands"
-
+	"skylarkport/internal/daemon"
 	"skylarkport/internal/scheduler"
 )
 
 func main() {
-	subcommands.Register(subcommands.HelpCommand(), "")
-	for _, c := range scheduler.Commands() {
-		subcommands.Register(c, "")
-	}
-	flag.Parse()
-	os.Exit(int(subcommands.Execute(context.Background())))
+	d := daemon.Daemon{Name: "skylark-scheduler", Check: scheduler.Check, Run: scheduler.Run}
+	os.Exit(d.Main())
 }
--- a/cmd/skylark-standin/main.go
+++ b/cmd/skylark-standin/main.go
@@ -3,20 +3,18 @@
 package main
 
 import (
-	"context"
-	"flag"
 	"os"
 
 	"github.com/google/subcommands"
 
+	"skylarkport/internal/daemon"
 	"skylarkport/internal/standin"
 )
 
 func main() {
-	subcommands.Register(subcommands.HelpCommand(), "")
-	for _, c := range standin.Commands() {
-		subcommands.Register(c, "")
+	d := daemon.Daemon{
+		Name: "skylark-standin", Check: standin.Check, Run: standin.Run,
+		More: []subcommands.Command{standin.VerifyCommand()},
 	}
-	flag.Parse()
-	os.Exit(int(subcommands.Execute(context.Background())))
+	os.Exit(d.Main())
 }
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -4,8 +4,6 @@
 	"context"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -13,6 +11,8 @@
 	"github.com/oklog/run"
 
 	"skylarkport/internal/bundle"
+	"skylarkport/internal/daemon"
+	"skylarkport/internal/link"
 	"skylarkport/internal/member"
 	"skylarkport/internal/obs"
 	"skylarkport/internal/operator"
@@ -26,11 +26,21 @@
 	readHeaderTimeout = 5 * time.Second
 )
 
+// Check checks the settings file of a scheduler.
+func Check(file string) error {
+	_, err := settings.LoadScheduler(file)
+	return err
+}
+
 // Run runs a scheduler process until a signal ends it. The first SIGTERM or
 // SIGINT drains: no more operators' work is taken, every shard is handed over,
 // and Run returns within the drain time of the settings. A second one ends the
 // process at once.
-func Run(cfg *settings.Scheduler) error {
+func Run(file string) error {
+	cfg, err := settings.LoadScheduler(file)
+	if err != nil {
+		return err
+	}
 	if err := obs.Setup(os.Stderr, cfg.Log.Format, cfg.Log.Level); err != nil {
 		return err
 	}
@@ -40,27 +50,29 @@
 	}
 	defer p.client.Close()
 	var g run.Group
-	addActor(&g, p.members.Run)
-	addActor(&g, p.serve)
-	addActor(&g, p.work)
-	addActor(&g, p.signals)
+	daemon.Actor(&g, p.members.Run)
+	daemon.Actor(&g, p.keeper.Run)
+	daemon.Actor(&g, p.meter)
+	daemon.Actor(&g, p.serve)
+	daemon.Actor(&g, p.work)
+	daemon.Actor(&g, p.signals)
 	p.logger.WithField("operator", cfg.OperatorListen).Info("started")
-	if err := g.Run(); err != nil && !errors.Is(err, errDrained) {
+	if err := g.Run(); err != nil && !errors.Is(err, daemon.ErrSignal) {
 		return err
 	}
 	p.logger.Info("stopped")
 	return nil
 }
 
-// errDrained ends the group after a graceful shutdown.
-var errDrained = errors.New("drained")
-
 // process is the parts of a running scheduler.
 type process struct {
 	cfg     *settings.Scheduler
 	logger  log.Interface
 	client  *platform.Client
 	members *member.Members
+	keeper  *bundle.Keeper
+	metrics *obs.Metrics
+	keys    *link.Keys // nil for none
 	sched   *Scheduler
 	server  *http.Server
 	drain   chan struct{} // closed by the first signal
@@ -78,29 +90,51 @@
 	if err != nil {
 		return nil, err
 	}
+	initial, err := bundle.LoadInitial(cfg.BundleFile)
+	if err != nil {
+		return nil, err
+	}
+	keeper := bundle.NewKeeper(bundle.KeeperConfig{
+		Tables: client.Tables(), Objects: client.Objects(), Group: members, Initial: initial, Scope: metrics.Scope(),
+	})
 	ext := Platform{Tables: client.Tables(), Objects: client.Objects(), Instances: client.Instances(), Workers: client.Workers()}
-	current := func() *bundle.Bundle { return nil }
-	sched := New(cfg, members, ext, current, obs.Logger("shard"))
-	api := operator.New(sched.Backend(), nil)
+	sched := New(cfg, members, ext, keeper.Current, obs.Logger("shard"))
+	life := bundle.NewLifecycle(client.Tables(), client.Objects(), initial, keeper, sched.Strands)
+	api := operator.New(sched.Backend(), life)
 	api.Handle(metricsPath, metrics.Handler())
-	return &process{
-		cfg: cfg, logger: obs.Logger("scheduler"), client: client, members: members, sched: sched,
+	p := &process{
+		cfg: cfg, logger: obs.Logger("scheduler"), client: client, members: members, keeper: keeper,
+		metrics: metrics, keys: mc.Keys, sched: sched,
 		server: &http.Server{Addr: cfg.OperatorListen, Handler: api, ReadHeaderTimeout: readHeaderTimeout},
 		drain:  make(chan struct{}), drained: make(chan struct{}),
-	}, nil
+	}
+	if p.keys != nil {
+		p.server.TLSConfig = p.keys.HTTPConfig()
+	}
+	return p, nil
 }
 
-// addActor adds f, whose context ends when any actor of the group returns.
-func addActor(g *run.Group, f func(ctx context.Context) error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	g.Add(func() error { return f(ctx) }, func(error) { cancel() })
+// meter hands the bytes at the sockets to the platform and the workers to the
+// metrics.
+func (p *process) meter(ctx context.Context) error {
+	p.client.Bytes().Report(ctx.Done(), p.metrics.Scope().SubScope("platform"))
+	return nil
+}
+
+// listen serves the operator API, over TLS with mutual authentication where the
+// settings name keys.
+func (p *process) listen() error {
+	if p.server.TLSConfig != nil {
+		return p.server.ListenAndServeTLS("", "")
+	}
+	return p.server.ListenAndServe()
 }
 
 // serve answers operators until the drain begins, and lets the calls that are
 // under way end.
 func (p *process) serve(ctx context.Context) error {
 	failed := make(chan error, 1)
-	go func() { failed <- p.server.ListenAndServe() }()
+	go func() { failed <- p.listen() }()
 	select {
 	case err := <-failed:
 		return result.Wrap(result.Internal, err, "operator API")
@@ -134,27 +168,21 @@
 	return err
 }
 
-// signals turns the first signal into a drain and the second into an exit.
+// signals turns the first signal into a drain, and ends the group when it is
+// done.
 func (p *process) signals(ctx context.Context) error {
-	c := make(chan os.Signal, 2)
-	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(c)
-	select {
-	case <-ctx.Done():
+	err := daemon.WaitSignal(ctx)
+	if err == nil {
 		return nil
-	case s := <-c:
-		p.logger.WithField("signal", s.String()).Info("draining")
-		close(p.drain)
 	}
+	p.logger.Info("draining")
+	close(p.drain)
 	t := time.NewTimer(p.cfg.Drain.D())
 	defer t.Stop()
 	select {
 	case <-p.drained:
-		return errDrained
 	case <-t.C:
 		p.logger.Warn("the drain took too long")
-		return errDrained
-	case s := <-c:
-		return result.Errorf(result.ShuttingDown, "second signal: %s", s)
 	}
+	return err
 }
--- a/internal/standin/command.go
+++ b/internal/standin/command.go
@@ -2,78 +2,53 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
 	"os"
-	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 	"github.com/oklog/run"
 
+	"skylarkport/internal/daemon"
 	"skylarkport/internal/history"
 	"skylarkport/internal/obs"
 	"skylarkport/internal/settings"
-	"skylarkport/internal/version"
 )
 
-// Commands returns the commands of skylark-standin.
-func Commands() []subcommands.Command {
-	return []subcommands.Command{&runCommand{}, &checkCommand{}, &verifyCommand{}, versionCommand{}}
+// Check checks the settings file of a stand-in.
+func Check(file string) error {
+	_, err := settings.LoadStandin(file)
+	return err
 }
 
-type runCommand struct{ file string }
-
-func (*runCommand) Name() string               { return "run" }
-func (*runCommand) Synopsis() string           { return "run the stand-in" }
-func (*runCommand) Usage() string              { return "run -settings FILE\n" }
-func (c *runCommand) SetFlags(f *flag.FlagSet) { f.StringVar(&c.file, "settings", "", "settings file") }
-
-func (c *runCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	cfg, err := settings.LoadStandin(c.file)
+// Run runs a stand-in process until a signal ends it.
+func Run(file string) error {
+	cfg, err := settings.LoadStandin(file)
 	if err != nil {
-		return failed(err)
+		return err
 	}
 	if err := obs.Setup(os.Stderr, cfg.Log.Format, cfg.Log.Level); err != nil {
-		return failed(err)
+		return err
 	}
-	if err := runGroup(*cfg); err != nil {
-		return failed(err)
-	}
-	return subcommands.ExitSuccess
+	return runGroup(*cfg)
 }
 
-// runGroup serves until a signal ends it.
 func runGroup(cfg settings.Standin) error {
 	var g run.Group
-	ctx, cancel := context.WithCancel(context.Background())
-	g.Add(func() error { return New(cfg).Serve(ctx) }, func(error) { cancel() })
-	g.Add(run.SignalHandler(ctx, syscall.SIGINT, syscall.SIGTERM))
+	daemon.Actor(&g, New(cfg).Serve)
+	daemon.Actor(&g, daemon.WaitSignal)
 	obs.Logger("standin").Infof("listening on %s", cfg.Listen)
-	err := g.Run()
-	if errors.Is(err, run.ErrSignal) {
-		return nil
+	if err := g.Run(); !errors.Is(err, daemon.ErrSignal) {
+		return err
 	}
-	return err
+	return nil
 }
 
-type checkCommand struct{ file string }
-
-func (*checkCommand) Name() string     { return "check" }
-func (*checkCommand) Synopsis() string { return "check a settings file" }
-func (*checkCommand) Usage() string    { return "check -settings FILE\n" }
-func (c *checkCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.file, "settings", "", "settings file")
-}
-
-func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	if _, err := settings.LoadStandin(c.file); err != nil {
-		return failed(err)
-	}
-	fmt.Println("settings are valid")
-	return subcommands.ExitSuccess
-}
+// VerifyCommand returns the command that checks what a running stand-in
+// recorded.
+func VerifyCommand() subcommands.Command { return &verifyCommand{} }
 
 type verifyCommand struct{ url string }
 
@@ -110,18 +85,6 @@
 	return len(found) == 0
 }
 
-type versionCommand struct{}
-
-func (versionCommand) Name() string           { return "version" }
-func (versionCommand) Synopsis() string       { return "print the version" }
-func (versionCommand) Usage() string          { return "version\n" }
-func (versionCommand) SetFlags(*flag.FlagSet) {}
-
-func (versionCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	fmt.Println(version.String())
-	return subcommands.ExitSuccess
-}
-
 func failed(err error) subcommands.ExitStatus {
 	fmt.Fprintln(os.Stderr, err)
 	return subcommands.ExitFailure
