--- a/internal/history/input.go
+++ b/internal/history/input.go
@@ -15,9 +15,10 @@
 	Idempotent bool          `json:"idempotent"`
 	Code       result.Code   `json:"code"` // zero when no answer came
 	NotRun     bool          `json:"not_run"`
-	Broken     bool          `json:"broken"`  // the connection broke before the whole answer
-	Matches    bool          `json:"matches"` // the whole answer is that of this request
-	Sent       time.Duration `json:"sent_ns"` // on the clock of Record
+	Broken     bool          `json:"broken"`           // the connection broke before the whole answer
+	Matches    bool          `json:"matches"`          // the whole answer is that of this request
+	Answer     string        `json:"answer,omitempty"` // the start of one that does not match
+	Sent       time.Duration `json:"sent_ns"`          // on the clock of Record
 	Ended      time.Duration `json:"ended_ns"`
 }
 
--- a/internal/history/requests.go
+++ b/internal/history/requests.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		if !call.Matches {
-			c.add(WholeAnswer, "%s got an answer that is not its own or not whole", call.RequestID)
+			c.add(WholeAnswer, "%s got an answer that is not its own or not whole: %s", call.RequestID, call.Answer)
 		}
 		if !completed[call.RequestID] && (call.Key == "" || !completed[keyOf(call.Key)]) {
 			c.add(WholeAnswer, "%s was answered and no upstream completed it", call.RequestID)
--- a/test/chaos/callers_test.go
+++ b/test/chaos/callers_test.go
@@ -147,6 +147,9 @@
 		err = read(&call, resp, op)
 	}
 	call.Broken = err != nil
+	if err != nil {
+		call.Answer = err.Error()
+	}
 	call.Ended = cs.cluster.now()
 	mu.Lock()
 	defer mu.Unlock()
@@ -165,6 +168,9 @@
 	call.Code = result.Code(code)
 	call.NotRun = resp.Header.Get(contract.HeaderNotRun) != ""
 	call.Matches = call.Code == result.OK && matches(resp, body, op, call.RequestID)
+	if call.Code == result.OK && !call.Matches {
+		call.Answer = fmt.Sprintf("%s %v %.200s", resp.Status, resp.Header, body)
+	}
 	return nil
 }
 
