--- /dev/null
+++ b/internal/entry/recorder.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"skylarkport/internal/obs"
+	"skylarkport/internal/result"
+)
+
+// maxTenants bounds the tenants that the latency histograms tell apart.
+const maxTenants = 128
+
+// recorder counts requests. It implements forward.Recorder.
+type recorder struct {
+	scope     tally.Scope
+	latencies *obs.Latencies
+	attempts  tally.Counter
+	discarded tally.Counter
+	keyEnds   tally.Counter
+	results   sync.Map // tally.Counter by result.Code
+}
+
+func newRecorder(scope tally.Scope) *recorder {
+	return &recorder{
+		scope:     scope,
+		latencies: obs.NewLatencies(scope, "request_latency", maxTenants),
+		attempts:  scope.Counter("upstream_attempts"),
+		discarded: scope.Counter("answers_discarded"),
+		keyEnds:   scope.Counter("key_ends_lost"),
+	}
+}
+
+// Done implements forward.Recorder.
+func (r *recorder) Done(tenant, class string, code result.Code, d time.Duration) {
+	r.result(code).Inc(1)
+	if tenant != "" {
+		r.latencies.Record(tenant, class, d)
+	}
+}
+
+func (r *recorder) result(code result.Code) tally.Counter {
+	if c, ok := r.results.Load(code); ok {
+		return c.(tally.Counter)
+	}
+	tagged := r.scope.Tagged(map[string]string{"code": strconv.Itoa(int(code)), "name": code.String()})
+	c, _ := r.results.LoadOrStore(code, tagged.Counter("requests"))
+	return c.(tally.Counter)
+}
+
+// Attempt implements forward.Recorder.
+func (r *recorder) Attempt() { r.attempts.Inc(1) }
+
+// Discarded implements forward.Recorder.
+func (r *recorder) Discarded() { r.discarded.Inc(1) }
+
+// KeyEndLost implements forward.Recorder.
+func (r *recorder) KeyEndLost() { r.keyEnds.Inc(1) }
--- /dev/null
+++ b/internal/entry/zones.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"encoding/json"
+	"net"
+	"net/url"
+	"sync"
+	"sync/atomic"
+
+	"skylarkport/internal/member"
+)
+
+// callersKey is the attachment with an entry's address for callers.
+const callersKey = "entry.callers"
+
+// zones knows the entries of other zones. It implements forward.Zones.
+type zones struct {
+	zone  string
+	group member.Group
+
+	mu    sync.Mutex
+	bases map[string]*url.URL // by peer id
+	built atomic.Pointer[elsewhere]
+}
+
+// elsewhere is what a view of the peers gives.
+type elsewhere struct {
+	view *member.View
+	urls []*url.URL
+}
+
+func newZones(zone, listen string, g member.Group) *zones {
+	z := &zones{zone: zone, group: g, bases: make(map[string]*url.URL)}
+	g.Attach(callersKey, func() any { return listen })
+	g.OnAttached(callersKey, z.attached)
+	return z
+}
+
+func (z *zones) attached(from member.Peer, value json.RawMessage) {
+	var address string
+	if json.Unmarshal(value, &address) != nil {
+		return
+	}
+	if _, _, err := net.SplitHostPort(address); err != nil {
+		return
+	}
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if old := z.bases[from.ID]; old != nil && old.Host == address {
+		return
+	}
+	z.bases[from.ID] = &url.URL{Scheme: "http", Host: address}
+	z.built.Store(nil)
+}
+
+// Elsewhere implements forward.Zones.
+func (z *zones) Elsewhere() []*url.URL {
+	view := z.group.View()
+	if b := z.built.Load(); b != nil && b.view == view {
+		return b.urls
+	}
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	b := &elsewhere{view: view}
+	for _, p := range view.Peers {
+		u := z.bases[p.ID]
+		if u != nil && p.Program == member.Entry && p.Zone != z.zone && p.State == member.Alive {
+			b.urls = append(b.urls, u)
+		}
+	}
+	z.built.Store(b)
+	return b.urls
+}
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,107 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+
+	"skylarkport/internal/result"
+)
+
+func TestThrough(t *testing.T) {
+	b := newBench(t, 2)
+	tests := []struct {
+		name string
+		q    req
+		body string
+		path string
+	}{
+		{"get", req{"GET", "/services/teiki/stock/7?x=1&y=%2F", "", nil}, "ran ", "/runs/teiki/stock/7?x=1&y=%2F"},
+		{"post", req{"POST", "/services/teiki/reserve", "tablets", nil}, "ran tablets", "/runs/teiki/reserve?"},
+		{"escaped", req{"GET", "/services/teiki/a%2Fb/c", "", nil}, "ran ", "/runs/teiki/a%2Fb/c?"},
+		{"root", req{"PUT", "/services/teiki", "", nil}, "ran ", "/runs/teiki/?"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tt.q.header = map[string]string{HeaderRequestID: "id-" + tt.name}
+			a := b.do(context.Background(), tt.q)
+			if a.err != nil || a.status != 200 || a.code() != result.OK || a.body != tt.body {
+				t.Fatalf("answer %d %d %q %v", a.status, a.code(), a.body, a.err)
+			}
+			if got := a.header.Get("X-Path"); got != tt.path {
+				t.Errorf("path = %q, want %q", got, tt.path)
+			}
+			if got := a.header.Get(HeaderRequestID); got != "id-"+tt.name {
+				t.Errorf("request id = %q", got)
+			}
+		})
+	}
+	b.idle()
+}
+
+func TestRefusedAtOnce(t *testing.T) {
+	b := newBench(t, 1)
+	tests := []struct {
+		name   string
+		method string
+		path   string
+		header map[string]string
+		body   string
+		want   result.Code
+	}{
+		{"no tenant", "GET", "/services/teiki/", map[string]string{HeaderTenant: ""}, "", result.RequestBad},
+		{"class", "GET", "/services/teiki/", map[string]string{HeaderClass: "urgent"}, "", result.RequestBad},
+		{"timeout", "GET", "/services/teiki/", map[string]string{HeaderTimeout: "1s"}, "", result.RequestBad},
+		{"timeout zero", "GET", "/services/teiki/", map[string]string{HeaderTimeout: "0"}, "", result.RequestBad},
+		{"empty key", "POST", "/services/teiki/", map[string]string{HeaderKey: ""}, "", result.RequestBad},
+		{"long id", "GET", "/services/teiki/", map[string]string{HeaderRequestID: strings.Repeat("x", 129)}, "", result.RequestBad},
+		{"dots", "GET", "/services/teiki/%2e%2e/other", nil, "", result.RequestBad},
+		{"dots in escape", "GET", "/services/teiki/a%2F..%2Fb", nil, "", result.RequestBad},
+		{"no service", "GET", "/services/", nil, "", result.RequestBad},
+		{"unknown service", "GET", "/services/stocfa/", nil, "", result.ServiceUnknown},
+		{"upgrade", "GET", "/services/teiki/", map[string]string{"Connection": "Upgrade", "Upgrade": "websocket"}, "", result.RequestUnsupported},
+		{"large", "POST", "/services/teiki/", nil, strings.Repeat("x", DefaultBody+1), result.RequestTooLarge},
+		{"keys away", "POST", "/services/teiki/", map[string]string{HeaderKey: "k"}, "", result.KeyStoreAway},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := b.do(context.Background(), req{tt.method, tt.path, tt.body, tt.header})
+			if a.err != nil || a.code() != tt.want || a.status != tt.want.Info().Status || !a.problem.NotRun {
+				t.Errorf("answer %d, code %d, not_run %v, err %v, want code %d", a.status, a.code(), a.problem.NotRun, a.err, tt.want)
+			}
+			if a.header.Get(HeaderRequestID) == "" {
+				t.Error("no request id")
+			}
+		})
+	}
+	if n := b.up.arrived.Load(); n != 0 {
+		t.Errorf("%d requests reached an upstream", n)
+	}
+}
+
+func TestHopByHop(t *testing.T) {
+	b := newBench(t, 1)
+	var got http.Header
+	b.up.set(func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header.Clone()
+		w.Header().Set("Keep-Alive", "timeout=5")
+		w.Header().Set(HeaderNotRun, "true")
+		w.Header().Set("X-Kept", "1")
+		b.up.run(w, r)
+	})
+	a := b.do(context.Background(), req{"GET", "/services/teiki/", "", map[string]string{
+		"Connection": "X-Private", "X-Private": "1", "Te": "trailers", "X-Public": "2", "Proxy-Authorization": "x",
+	}})
+	for _, k := range []string{"X-Private", "Te", "Proxy-Authorization", "Connection"} {
+		if got.Get(k) != "" {
+			t.Errorf("%s went through", k)
+		}
+	}
+	if got.Get("X-Public") != "2" || got.Get(HeaderTenant) != "counter" || got.Get(HeaderTimeout) == "" {
+		t.Errorf("upstream headers %v", got)
+	}
+	if a.header.Get("Keep-Alive") != "" || a.header.Get(HeaderNotRun) != "" || a.header.Get("X-Kept") != "1" {
+		t.Errorf("answer headers %v", a.header)
+	}
+}
