Shares: a seat that becomes an own one is no longer borrowed

Change: reading the row ends loans of seats that are own ones now; nothing is written on a connection after its request's deadline, also by a process that was paused.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -30,6 +31,8 @@
 	conn   *conn
 	before int64 // writes on conn when the attempt got it
 	sent   bool  // on a connection that it had before
+
+	deadline *time.Time
 }
 
 // gotConn notes the connection that the transport chose.
@@ -39,6 +42,7 @@
 	a.conn = c
 	if c != nil {
 		a.before = c.writes.Load()
+		c.expires.Store(a.deadline)
 	}
 }
 
@@ -57,6 +61,8 @@
 // do sends the call to t and returns the answer's head. It has read no body.
 func (a *attempt) do(ctx context.Context, c *call, t *target) (*http.Response, *failure) {
 	a.trace.GotConn = a.gotConn
+	deadline := c.deadline // apart from the call, which the connection would keep
+	a.deadline = &deadline
 	req := c.request(httptrace.WithClientTrace(ctx, &a.trace), t)
 	resp, err := t.transport.RoundTrip(req)
 	if err != nil {
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -87,18 +87,22 @@
 	net.Conn
 	writes  atomic.Int64 // begun
 	sealed  atomic.Bool
-	expires atomic.Int64 // wall clock with which the request must be sent, nanoseconds; 0 for none
+	expires atomic.Pointer[time.Time] // no later write is passed; nil for none
 	once    sync.Once
 	release func()
 }
 
 // Write implements net.Conn. The write is counted before the seal is checked:
-// a write that seal did not count finds the seal.
+// a write that seal did not count finds the seal. A process that was paused
+// sends nothing after the deadline.
 func (c *conn) Write(b []byte) (int, error) {
 	c.writes.Add(1)
 	if c.sealed.Load() {
 		return 0, errSealed
 	}
+	if t := c.expires.Load(); t != nil && !time.Now().Before(*t) {
+		return 0, errSealed
+	}
 	return c.Conn.Write(b)
 }
 
--- a/internal/share/holder.go
+++ b/internal/share/holder.go
@@ -97,6 +97,8 @@
 		h.giving = 0
 	}
 	h.row, h.version, h.known = row.clone(), version, true
+	// A seat that is owned now is used, given and lent as an own one only.
+	row.Of(h.self).each(func(i int) { h.borrowed[i] = nil })
 	h.apply(now)
 }
 
--- /dev/null
+++ b/internal/share/holder_test.go
@@ -0,0 +1,75 @@
+package share
+
+import (
+	"testing"
+	"time"
+)
+
+// loose is a Pool in which nothing is in use.
+type loose struct{}
+
+func (loose) Limit(Seats) bool { return true }
+
+// TestOwnedOnce is a case that TestSlotSum found: the lender leaves, its seat
+// becomes the borrower's own, and the borrower lends it on.
+func TestOwnedOnce(t *testing.T) {
+	h := NewHolder("b", 1, loose{})
+	d := NewDivision("a")
+	d.join("b")
+	d.join("c")
+	h.Wrote(0, d, 1)
+	h.Asking()
+	h.Borrowed(0, 0, "a", Loan{ID: 9, Seats: 3})
+	if got := h.Usable(0); got != 3 {
+		t.Fatalf("usable = %x, want the borrowed seats", got)
+	}
+	d.remove("a", false)
+	d.give(All, "b", false)
+	h.Read(time.Second, d, 2)
+	h.Cleared(time.Second, map[string]Seats{})
+	lent := h.Lend(time.Second, "c", SeatCount).Seats
+	if lent&3 != 3 {
+		t.Fatalf("lent %x, want the two seats among them", lent)
+	}
+	if both := lent & h.Usable(time.Second); both != 0 {
+		t.Errorf("seats %x are lent and used", both)
+	}
+}
+
+func TestPart(t *testing.T) {
+	tests := []struct {
+		name  string
+		seats Seats
+		total int
+		want  int
+	}{
+		{"all slots", All, 8, 8},
+		{"all connections", All, 64, 64},
+		{"more units than seats", All, 130, 130},
+		{"none", 0, 8, 0},
+		{"eight in a row are one slot", 0xff << 16, 8, 1},
+		{"no unit", All, 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for _, worker := range []string{"w1", "w2", "a-very-long-worker-name"} {
+				if got := tt.seats.Part(worker, tt.total); got != tt.want {
+					t.Errorf("Part(%s, %d) = %d, want %d", worker, tt.total, got, tt.want)
+				}
+			}
+		})
+	}
+}
+
+// TestPartsAddUp checks that disjoint sets of seats share no unit.
+func TestPartsAddUp(t *testing.T) {
+	for _, total := range []int{1, 8, 10, 64, 100} {
+		sum := 0
+		for _, s := range []Seats{0x5555555555555555, 0x2222222222222222, 0x8888888888888888} {
+			sum += s.Part("w1", total)
+		}
+		if sum != total {
+			t.Errorf("the parts of %d add up to %d", total, sum)
+		}
+	}
+}
