--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"skylarkport/internal/contract"
 	"skylarkport/internal/forward"
+	"skylarkport/internal/idempotency"
 	"skylarkport/internal/member"
 	"skylarkport/internal/obs"
 	"skylarkport/internal/route"
@@ -51,6 +52,7 @@
 	handler  *forward.Handler
 	shares   *sharing
 	zones    *zones
+	keys     *idempotency.Store
 	draining atomic.Bool
 }
 
@@ -67,11 +69,15 @@
 	e.zones = newZones(cfg.Zone, cfg.Listen, deps.Group)
 	e.shares = newSharing(e)
 	e.table.OnChange(e.shares.apply)
+	e.keys = idempotency.NewStore(idempotency.Config{
+		Ranges: cfg.KeyRanges, Group: deps.Group, Tables: deps.Tables, Objects: deps.Objects,
+	})
 	e.handler = forward.New(forward.Config{
 		Zone:        cfg.Zone,
 		MaxInFlight: cfg.MaxInFlight,
 		Table:       e.table,
 		Bundles:     deps.Bundles,
+		Keys:        e.keys,
 		Zones:       e.zones,
 		ZoneDial:    deps.Dial,
 		Recorder:    newRecorder(deps.Metrics.Scope()),
@@ -88,6 +94,7 @@
 			return nil
 		})
 	}
+	add(g, e.keys.Run)
 }
 
 // Ready reports whether the balancer may send requests.
--- /dev/null
+++ b/internal/idempotency/fake_test.go
@@ -0,0 +1,249 @@
+package idempotency
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"sync"
+
+	"skylarkport/internal/contract"
+	"skylarkport/internal/member"
+	"skylarkport/internal/result"
+)
+
+// fault is what the next commits meet.
+type fault int
+
+const (
+	well    fault = iota
+	down          // refused, also reads
+	lost          // applied, the answer is lost
+	dropped       // not applied, the answer is lost
+)
+
+// fakeTables keeps rows and objects in memory.
+type fakeTables struct {
+	mu       sync.Mutex
+	rows     map[contract.Key]contract.Row
+	versions map[contract.Key]uint64
+	objects  map[string][]byte
+	fault    fault
+	commits  int
+}
+
+func newFake() *fakeTables {
+	return &fakeTables{
+		rows: map[contract.Key]contract.Row{}, versions: map[contract.Key]uint64{}, objects: map[string][]byte{},
+	}
+}
+
+func (f *fakeTables) set(x fault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fault = x
+}
+
+var (
+	errDown = &contract.CallError{Code: result.PlatformRefused}
+	errLost = &contract.CallError{Code: result.PlatformUnknown, Outcome: contract.Unknown}
+)
+
+func (f *fakeTables) Read(_ context.Context, key contract.Key) (contract.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fault == down {
+		return contract.Row{}, errDown
+	}
+	r, ok := f.rows[key]
+	if !ok {
+		return r, &contract.CallError{Code: result.PlatformNotFound}
+	}
+	return r, nil
+}
+
+func (f *fakeTables) Scan(_ context.Context, table, from, to string, limit int) ([]contract.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fault == down {
+		return nil, errDown
+	}
+	var out []contract.Row
+	for k, r := range f.rows {
+		if k.Table == table && k.Row >= from && (to == "" || k.Row < to) {
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key.Row < out[j].Key.Row })
+	return out[:min(len(out), limit)], nil
+}
+
+func (f *fakeTables) Commit(_ context.Context, writes []contract.Write) ([]uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.commits++
+	switch f.fault {
+	case down:
+		return nil, errDown
+	case dropped:
+		f.fault = well
+		return nil, errLost
+	case lost:
+		f.fault = well
+		if _, err := f.apply(writes); err != nil {
+			return nil, err
+		}
+		return nil, errLost
+	}
+	return f.apply(writes)
+}
+
+func (f *fakeTables) apply(writes []contract.Write) ([]uint64, error) {
+	for _, w := range writes {
+		r, ok := f.rows[w.Key]
+		if w.If == contract.IfAbsent && ok || w.If == contract.IfVersion && (!ok || r.Version != w.Version) {
+			return nil, &contract.CallError{Code: result.PlatformConflict, Row: w.Key}
+		}
+	}
+	out := make([]uint64, len(writes))
+	for i, w := range writes {
+		switch w.Do {
+		case contract.Put:
+			f.versions[w.Key]++
+			out[i] = f.versions[w.Key]
+			f.rows[w.Key] = contract.Row{Key: w.Key, Version: out[i], Value: w.Value}
+		case contract.Delete:
+			delete(f.rows, w.Key)
+		}
+	}
+	return out, nil
+}
+
+func (f *fakeTables) Put(_ context.Context, name string, body []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.objects[name] = body
+	return nil
+}
+
+func (f *fakeTables) Get(_ context.Context, name string) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b, ok := f.objects[name]
+	if !ok {
+		return nil, &contract.CallError{Code: result.PlatformNotFound}
+	}
+	return b, nil
+}
+
+func (f *fakeTables) Delete(_ context.Context, name string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.objects, name)
+	return nil
+}
+
+// network connects the groups of a test.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*node
+	cut   map[[2]string]bool
+	// answersLost makes the next calls take effect without an answer.
+	answersLost int
+}
+
+// node is one entry's member.Group.
+type node struct {
+	net      *network
+	id       string
+	handlers map[string]member.Handler
+	view     *member.View
+}
+
+func newNetwork(ids ...string) *network {
+	n := &network{nodes: map[string]*node{}, cut: map[[2]string]bool{}}
+	for _, id := range ids {
+		n.nodes[id] = &node{net: n, id: id, handlers: map[string]member.Handler{}}
+	}
+	for _, id := range ids {
+		n.see(id, ids...)
+	}
+	return n
+}
+
+func peerOf(id string) member.Peer {
+	return member.Peer{ID: id + "/entry", Instance: id, Program: member.Entry, Zone: "ishikari", State: member.Alive}
+}
+
+// see sets the view of node id.
+func (n *network) see(id string, ids ...string) {
+	v := &member.View{}
+	for _, other := range ids {
+		if other != id {
+			v.Peers = append(v.Peers, peerOf(other))
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[id].view = v
+}
+
+func (n *network) sever(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[[2]string{a, b}], n.cut[[2]string{b, a}] = true, true
+}
+
+func (g *node) Self() member.Peer { return peerOf(g.id) }
+
+func (g *node) View() *member.View {
+	g.net.mu.Lock()
+	defer g.net.mu.Unlock()
+	return g.view
+}
+
+func (g *node) Changed() <-chan struct{}                              { return nil }
+func (g *node) Handle(method string, h member.Handler)                { g.handlers[method] = h }
+func (g *node) Attach(string, func() any)                             {}
+func (g *node) OnAttached(string, func(member.Peer, json.RawMessage)) {}
+func (g *node) target(peerID string) (to *node, reachable, answer bool) {
+	return g.net.route(g.id, peerID)
+}
+
+func (n *network) route(from, peerID string) (*node, bool, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for id, to := range n.nodes {
+		if id+"/entry" != peerID {
+			continue
+		}
+		if n.answersLost > 0 {
+			n.answersLost--
+			return to, !n.cut[[2]string{from, id}], false
+		}
+		return to, !n.cut[[2]string{from, id}], true
+	}
+	return nil, false, false
+}
+
+func (g *node) Call(ctx context.Context, peerID, method string, params, reply any) error {
+	to, reachable, answer := g.target(peerID)
+	if !reachable {
+		return result.Errorf(result.PeerAway, "%s", peerID)
+	}
+	b, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	v, err := to.handlers[method](ctx, g.Self(), b)
+	if !answer {
+		return result.Errorf(result.PeerAway, "%s: answer lost", peerID)
+	}
+	if err != nil || reply == nil {
+		return err
+	}
+	b, err = json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(b, reply)
+}
