--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -126,6 +126,15 @@
 		{"an instance goes back", func(in *Input) {
 			in.Versions = append(in.Versions, Version{"e1", 17 * second, 1})
 		}, []Rule{BundleInForce}},
+		{"an instance starts without a bundle", func(in *Input) {
+			in.Versions = append(in.Versions, Version{"e1", 19 * second, 0}, Version{"e1", 26 * second, 0}, Version{"e1", 27 * second, 2})
+		}, nil},
+		{"an instance stays without a bundle", func(in *Input) {
+			in.Versions = append(in.Versions, Version{"e1", 19 * second, 0}, Version{"e1", 27 * second, 0})
+		}, []Rule{BundleInForce}},
+		{"an instance comes back with an older one", func(in *Input) {
+			in.Versions = append(in.Versions, Version{"e1", 12 * second, 0}, Version{"e1", 13 * second, 2}, Version{"e1", 14 * second, 1})
+		}, []Rule{BundleInForce}},
 		{"an instance is late", func(in *Input) { in.Versions[2].Version = 1 }, []Rule{BundleInForce}},
 	}
 	for _, tt := range tests {
--- a/internal/history/input.go
+++ b/internal/history/input.go
@@ -29,7 +29,7 @@
 	ExitCode int           `json:"exit_code"`
 }
 
-// Version is the bundle version that an instance had in force.
+// Version is the bundle version that an instance had in force, 0 for none.
 type Version struct {
 	Instance string        `json:"instance"`
 	At       time.Duration `json:"at_ns"`
--- /dev/null
+++ b/test/chaos/bundles_test.go
@@ -0,0 +1,178 @@
+//go:build chaos
+
+package chaos
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"skylarkport/internal/bundle"
+	"skylarkport/internal/ctl"
+	"skylarkport/internal/history"
+	"skylarkport/internal/operator/api"
+	"skylarkport/internal/result"
+	"skylarkport/internal/standin"
+)
+
+const (
+	sampleEvery   = 200 * time.Millisecond
+	sampleTimeout = time.Second
+	versionMetric = "bundle_version"
+)
+
+// sampler reads the bundle version in force from every process.
+type sampler struct {
+	cluster *cluster
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	samples []history.Version
+}
+
+// startSampler samples from the time at which every process has an accepted
+// bundle in force, so that version 0 afterwards means none.
+func startSampler(s *scene) *sampler {
+	s.t.Helper()
+	c := s.cluster
+	if err := s.accept(c.nodes[0], s.propose(c.nodes[0], "first accepted")); err != nil {
+		s.t.Fatal(err)
+	}
+	for _, n := range c.nodes {
+		for _, url := range []string{n.operatorURL, n.entryURL} {
+			s.until("a bundle at "+url, history.BundleLimit, func() bool {
+				v, ok := scrapeVersion(c.ctx, url)
+				return ok && v > 0
+			})
+		}
+	}
+	return sample(c)
+}
+
+func sample(c *cluster) *sampler {
+	ctx, cancel := context.WithCancel(c.ctx)
+	s := &sampler{cluster: c, cancel: cancel}
+	for _, n := range c.nodes {
+		s.wg.Go(func() { s.loop(ctx, n.id+"/scheduler", n.operatorURL) })
+		s.wg.Go(func() { s.loop(ctx, n.id+"/entry", n.entryURL) })
+	}
+	return s
+}
+
+func (s *sampler) stop() []history.Version {
+	s.cancel()
+	s.wg.Wait()
+	slices.SortStableFunc(s.samples, func(a, b history.Version) int { return int(a.At - b.At) })
+	return s.samples
+}
+
+// loop samples one process until ctx ends.
+func (s *sampler) loop(ctx context.Context, name, url string) {
+	for ; ctx.Err() == nil; time.Sleep(sampleEvery) {
+		at := s.cluster.now()
+		v, ok := scrapeVersion(ctx, url)
+		if !ok {
+			continue
+		}
+		s.mu.Lock()
+		s.samples = append(s.samples, history.Version{Instance: name, At: at, Version: v})
+		s.mu.Unlock()
+	}
+}
+
+// scrapeVersion reads the version in force from a process's metrics.
+func scrapeVersion(ctx context.Context, url string) (uint64, bool) {
+	ctx, cancel := context.WithTimeout(ctx, sampleTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/metrics", nil)
+	if err != nil {
+		return 0, false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, false
+	}
+	defer resp.Body.Close()
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		line := lines.Text()
+		if strings.HasPrefix(line, "#") || !strings.Contains(line, versionMetric) {
+			continue
+		}
+		v, err := strconv.ParseFloat(line[strings.LastIndexByte(line, ' ')+1:], 64)
+		return uint64(v), err == nil
+	}
+	return 0, false
+}
+
+// propose proposes a bundle on top of the one that n holds, and returns its hash.
+func (s *scene) propose(n *node, note string) string {
+	s.t.Helper()
+	client := ctl.NewClient(n.operatorURL, callTimeout)
+	var p bundle.Proposal
+	s.until("propose", startWait, func() bool {
+		var st bundle.Status
+		if client.Get(s.ctx, api.PathBundles, nil, &st) != nil {
+			return false
+		}
+		b := firstBundle()
+		b.Base, b.Version, b.Note = st.Current.Version, st.Current.Version+1, note
+		return client.Post(s.ctx, api.PathProposals, b, &p) == nil
+	})
+	return p.Hash
+}
+
+// accept accepts a proposal and notes when its answer came.
+func (s *scene) accept(n *node, hash string) error {
+	var h bundle.Head
+	err := ctl.NewClient(n.operatorURL, callTimeout).Post(s.ctx, api.PathProposals+"/"+hash+"/accept", struct{}{}, &h)
+	if err == nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.acceptances = append(s.acceptances, history.Acceptance{Version: h.Version, At: s.now()})
+	}
+	return err
+}
+
+// acceptWhileCut accepts a bundle while a zone is cut off from the platform, and
+// restarts a process of that zone before the cut ends.
+func acceptWhileCut(s *scene) {
+	sampler := startSampler(s)
+	z := s.rand.IntN(len(zones))
+	inside := s.zoneNodes(zones[z].name)
+	outside := s.zoneNodes(zones[(z+1)%len(zones)].name)[0]
+	hash := s.propose(outside, "accepted in a cut")
+	s.inject(standin.Fault{Kind: standin.Cut, From: zones[z].name, To: standin.PlatformZone, For: seconds(11)})
+	if err := s.accept(outside, hash); err != nil {
+		s.t.Fatal(err)
+	}
+	time.Sleep(3 * time.Second)
+	s.restartSchedulers(inside[:1], 0)
+	time.Sleep(history.BundleLimit)
+	s.versions = sampler.stop()
+}
+
+// raceAcceptances accepts two bundles on the same base at once: one wins, the
+// other one meets a conflict.
+func raceAcceptances(s *scene) {
+	sampler := startSampler(s)
+	for round := range 3 {
+		a, b := s.nodes[0], s.nodes[len(s.nodes)-1]
+		first, second := s.propose(a, fmt.Sprintf("a%d", round)), s.propose(b, fmt.Sprintf("b%d", round))
+		errs := make(chan error, 2)
+		go func() { errs <- s.accept(a, first) }()
+		go func() { errs <- s.accept(b, second) }()
+		codes := []result.Code{result.Of(<-errs), result.Of(<-errs)}
+		slices.Sort(codes)
+		if codes[0] != result.OK || (codes[1] != result.BundleConflict && codes[1] != result.BundleOutdated) {
+			s.t.Errorf("round %d: codes %v, want one winner and one conflict", round, codes)
+		}
+	}
+	time.Sleep(history.BundleLimit + time.Second)
+	s.versions = sampler.stop()
+}
--- a/test/chaos/callers_test.go
+++ b/test/chaos/callers_test.go
@@ -27,7 +27,7 @@
 	tenant       = "teiki"
 	service      = "lookup"
 	callerCount  = 6
-	callerPause  = 20 * time.Millisecond
+	callerPause  = 10 * time.Millisecond
 	keyAttempts  = 4
 	keyPause     = 150 * time.Millisecond
 	clientGrace  = 2 * time.Second
@@ -183,3 +183,19 @@
 	sum := sha256.Sum256([]byte(op.body))
 	return a.Digest == hex.EncodeToString(sum[:]) && a.Method == op.method && strings.HasSuffix(a.Path, op.path)
 }
+
+// answers reports whether the entry answers a lookup.
+func answers(n *node) bool {
+	req, err := http.NewRequest(http.MethodGet, n.entryURL+"/services/"+service+"/chaos/ready", nil)
+	if err != nil {
+		return false
+	}
+	req.Header.Set("Skylark-Tenant", tenant)
+	req.Header.Set(contract.HeaderRequestID, "ready-"+n.id)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
--- a/test/chaos/chaos_test.go
+++ b/test/chaos/chaos_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -32,7 +33,10 @@
 // scene is a case in progress.
 type scene struct {
 	*cluster
-	stops []history.Stop
+	stops       []history.Stop
+	versions    []history.Version
+	mu          sync.Mutex // of acceptances
+	acceptances []history.Acceptance
 }
 
 // chaosCase is one fault story.
@@ -77,19 +81,23 @@
 	s.submit(job.Spec{ID: service, Tenant: tenant, Kind: job.Service, Family: "lookup", Priority: 80, Tasks: replicas, Needs: needs, Target: job.Duration(50 * time.Millisecond)})
 	s.submit(job.Spec{ID: "feeds", Tenant: tenant, Kind: job.Watch, Family: "feeds", Tasks: 3, Needs: needs})
 	s.until("the service runs", startWait, func() bool { return s.count(service, api.TaskRunning) == replicas })
+	for _, n := range s.nodes {
+		s.until(n.id+" answers", startWait, func() bool { return answers(n) })
+	}
 	callers := startCallers(s.cluster)
 	s.submit(job.Spec{ID: "valuation", Tenant: tenant, Kind: job.Batch, Family: "valuation", Tasks: batchTasks, Needs: needs, RunTime: seconds(2), Retries: 5})
 	time.Sleep(settle)
 	c.story(s)
 	s.until("the batch ends", finishWait, func() bool { return s.count("valuation", api.TaskFinished) == batchTasks })
 	s.until("the service is whole", finishWait, func() bool { return s.count(service, api.TaskRunning) == replicas })
+	time.Sleep(settle)
 	calls := callers.stop()
 	record, err := s.admin.History(s.ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, v := range history.Check(history.Input{
-		Record: record, Calls: calls, Stops: s.stops,
+		Record: record, Calls: calls, Stops: s.stops, Versions: s.versions, Acceptances: s.acceptances,
 		Expect: []history.Expect{{Job: "valuation", Finished: batchTasks}},
 	}) {
 		t.Error(v)
@@ -209,6 +217,8 @@
 		s.inject(standin.Fault{Kind: standin.UpstreamBreak, Target: "workers", Count: 20})
 		time.Sleep(3 * time.Second)
 	}},
+	{"bundle-accepted-zone-cut", acceptWhileCut},
+	{"bundles-raced", raceAcceptances},
 	{"scheduler-killed-tables-down", func(s *scene) {
 		s.inject(standin.Fault{Kind: standin.Down, Target: "tables", For: seconds(4)})
 		n := s.owner()
