--- a/internal/placement/commit.go
+++ b/internal/placement/commit.go
@@ -23,7 +23,7 @@
 func (c *cycle) commitment(s *job.Spec, t job.TaskID) resource.Vector {
 	declared := sane(s.Needs)
 	v := declared
-	if u := c.summary(s); u != nil && s.Kind == job.Batch {
+	if u := c.profile(s).usage; u != nil && s.Kind == job.Batch {
 		if u.Samples >= processorSamples {
 			v.MilliCPU = max(minMilliCPU, grown(u.Used.MilliCPU, c.v.Config.ProcessorMargin))
 		}
--- a/internal/placement/cycle.go
+++ b/internal/placement/cycle.go
@@ -5,7 +5,6 @@
 	"math"
 	"time"
 
-	"skylarkport/internal/estimate"
 	"skylarkport/internal/job"
 	"skylarkport/internal/quarantine"
 	"skylarkport/internal/resource"
@@ -55,7 +54,8 @@
 	largest    []resource.Vector // capacities of the workers, none of which another holds
 	headroom   map[string]resource.Vector
 	racks      map[string]map[string]int // runs by job and rack, of replicated jobs
-	blocked    map[string]struct{}       // jobs of which a task found no worker in this cycle
+	profiles   map[*job.Spec]*profile
+	blocked    map[string]struct{} // jobs of which a task found no worker in this cycle
 	plan       *Plan
 	evicted    int
 	considered int
@@ -78,6 +78,7 @@
 		v:        v,
 		nodes:    make([]*node, 0, len(s.Workers)),
 		headroom: make(map[string]resource.Vector, len(s.Headroom)),
+		profiles: map[*job.Spec]*profile{},
 		blocked:  map[string]struct{}{},
 		plan:     &Plan{},
 		evicted:  v.Evictions,
@@ -160,11 +161,9 @@
 	})
 }
 
-func (c *cycle) summary(s *job.Spec) *estimate.Summary { return c.v.Usage[Family(s)] }
-
 // runTime is how long a task with saved progress is expected to run.
 func (c *cycle) runTime(s *job.Spec, resume int64) time.Duration {
-	return c.summary(s).Remaining(resume, s.RunTime.D())
+	return c.profile(s).usage.Remaining(resume, s.RunTime.D())
 }
 
 // saturated returns a + b without overflow.
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -134,7 +134,7 @@
 		w.Step, w.Stepped = old.Step, old.Stepped
 	}
 	for i := range r.Runs {
-		w.Runs = append(w.Runs, e.observeRun(&r, &r.Runs[i], old.run(r.Runs[i].Run)))
+		w.Runs = append(w.Runs, e.observeRun(&r, &r.Runs[i], old.run(r.Runs[i].Run, i)))
 	}
 	e.workers[r.Worker] = w
 }
--- a/internal/placement/exposure.go
+++ b/internal/placement/exposure.go
@@ -33,15 +33,16 @@
 		return
 	}
 	n.prepared = true
-	for _, r := range n.w.Runs {
+	for i, r := range n.w.Runs {
 		if r.Spec.Kind == job.Service && !r.Stopping && r.Spec.Target > 0 {
-			n.services = append(n.services, c.exposure(n, r))
+			n.services = append(n.services, c.exposure(n, i))
 		}
 	}
 }
 
-func (c *cycle) exposure(n *node, r *Run) exposure {
-	x := exposure{run: r, view: n.view.run(r.ID), curves: c.v.Interference[Family(r.Spec)]}
+func (c *cycle) exposure(n *node, i int) exposure {
+	r := n.w.Runs[i]
+	x := exposure{run: r, view: n.view.run(r.ID, i), curves: c.v.Interference[c.profile(r.Spec).family]}
 	if x.view != nil {
 		x.band = interference.Band(x.view.Load)
 	}
@@ -53,12 +54,12 @@
 	target := math.Log(r.Spec.Target.D().Seconds())
 	above, _ := x.curves.Level(x.up())
 	x.now, x.next = level-target, above-target
-	for _, o := range n.w.Runs {
+	for k, o := range n.w.Runs {
 		if o.Spec.Kind == job.Batch {
-			x.add(Family(o.Spec), c.runIntensity(n, o))
+			x.add(c.profile(o.Spec).family, c.runIntensity(n, k))
 		}
 	}
-	if m, fresh := x.measured(n.w, c); fresh {
+	if m, fresh := c.measured(n.w, x.view); fresh {
 		x.now = math.Max(x.now, math.Log(m))
 	}
 	return x
@@ -89,30 +90,15 @@
 
 // measured returns the median of the latencies over target that were measured
 // since the worker's last change, and false where there are too few.
-func (x *exposure) measured(w *Worker, c *cycle) (float64, bool) {
-	v := x.view
+func (c *cycle) measured(w *Worker, v *RunView) (float64, bool) {
 	if v == nil || len(v.Ratios) < freshRatios || v.At < w.Changed+Settle {
 		return 0, false
 	}
 	if c.s.Now-v.At > c.v.Config.Window.D() {
 		return 0, false
 	}
-	s := slices.Clone(v.Ratios)
+	var sorted [ratiosKept]float64
+	s := sorted[:copy(sorted[:], v.Ratios)]
 	slices.Sort(s)
 	return s[(len(s)-1)/2], true
 }
-
-// runIntensity is the run's use over its family's usual use; a run that was not
-// measured counts as usual for its commitment.
-func (c *cycle) runIntensity(n *node, r *Run) float64 {
-	u := c.summary(r.Spec)
-	if u == nil || u.Typical.MilliCPU <= 0 {
-		return 1
-	}
-	typical := float64(u.Typical.MilliCPU)
-	limit := math.Min(maxIntensity, float64(sane(r.Commit).MilliCPU)/typical)
-	if v := n.view.run(r.ID); v != nil && v.At > r.Started+Settle {
-		return math.Min(limit, float64(v.Used.MilliCPU)/typical)
-	}
-	return math.Min(1, limit)
-}
--- a/internal/placement/grow.go
+++ b/internal/placement/grow.go
@@ -23,16 +23,15 @@
 		if n.busy || n.w.Health != Healthy || n.over {
 			continue
 		}
-		for _, r := range n.w.Runs {
+		for i, r := range n.w.Runs {
 			if !r.Stopping && !r.Throttled {
-				c.size(n, r)
+				c.size(n, r, n.view.run(r.ID, i))
 			}
 		}
 	}
 }
 
-func (c *cycle) size(n *node, r *Run) {
-	v := n.view.run(r.ID)
+func (c *cycle) size(n *node, r *Run, v *RunView) {
 	if v == nil || v.At < r.Started {
 		return
 	}
--- a/internal/placement/preemption.go
+++ b/internal/placement/preemption.go
@@ -67,14 +67,11 @@
 	c.prepare(n)
 	for i := range n.services {
 		x := n.services[i]
-		for _, r := range n.w.Runs {
-			if r.Spec.Kind == job.Batch && r.Stopping {
-				x.remove(Family(r.Spec), c.runIntensity(n, r))
+		for k, r := range n.w.Runs {
+			if r.Spec.Kind == job.Batch && (r.Stopping || slices.Contains(victims, r)) {
+				x.remove(c.profile(r.Spec).family, c.runIntensity(n, k))
 			}
 		}
-		for _, r := range victims {
-			x.remove(Family(r.Spec), c.runIntensity(n, r))
-		}
 		if !c.bearable(&x, t.family) {
 			return false
 		}
--- a/internal/placement/respond.go
+++ b/internal/placement/respond.go
@@ -44,7 +44,6 @@
 		if n.view == nil || n.view.Stepped > 0 && c.s.Now-n.view.Stepped < c.v.Config.Cooldown.D() {
 			continue
 		}
-		c.prepare(n)
 		c.respondOn(n)
 	}
 }
@@ -61,8 +60,11 @@
 // respondOn looks at the service that suffers most.
 func (c *cycle) respondOn(n *node) {
 	worst, at := 0.0, -1
-	for i := range n.services {
-		m, fresh := n.services[i].measured(n.w, c)
+	for i, r := range n.w.Runs {
+		if r.Spec.Kind != job.Service || r.Stopping {
+			continue
+		}
+		m, fresh := c.measured(n.w, n.view.run(r.ID, i))
 		if fresh && m > worst {
 			worst, at = m, i
 		}
@@ -70,9 +72,9 @@
 	if at < 0 {
 		return
 	}
-	x := &n.services[at]
-	if worst >= c.threshold(x) {
-		c.relieve(n, x, worst)
+	if worst >= c.threshold() {
+		c.prepare(n)
+		c.relieve(n, n.exposure(n.w.Runs[at]), worst)
 		return
 	}
 	if worst <= calmBelow {
@@ -80,12 +82,25 @@
 	}
 }
 
+// exposure returns the exposure of a service run on a prepared node, or nil.
+func (n *node) exposure(r *Run) *exposure {
+	for i := range n.services {
+		if n.services[i].run == r {
+			return &n.services[i]
+		}
+	}
+	return nil
+}
+
 // threshold is the latency over target that calls for a step.
-func (c *cycle) threshold(*exposure) float64 { return actAbove - actTail*c.tail }
+func (c *cycle) threshold() float64 { return actAbove - actTail*c.tail }
 
 // relieve throttles, moves or evicts the runs to blame, as few as are expected
 // to bring the service back to aimAt.
 func (c *cycle) relieve(n *node, x *exposure, ratio float64) {
+	if x == nil {
+		return
+	}
 	list := c.blames(n, x)
 	if len(list) == 0 {
 		return
@@ -143,13 +158,13 @@
 // blames returns the batch runs on n that slow x down, worst first.
 func (c *cycle) blames(n *node, x *exposure) []blame {
 	var list []blame
-	for _, r := range n.w.Runs {
+	for i, r := range n.w.Runs {
 		if r.Stopping || r.Spec.Kind != job.Batch {
 			continue
 		}
-		part := c.part(n, x, r)
+		part := c.part(n, x, i)
 		if part >= meaningful {
-			list = append(list, blame{r, part})
+			list = append(list, blame{run: r, part: part})
 		}
 	}
 	slices.SortStableFunc(list, func(a, b blame) int {
@@ -161,12 +176,13 @@
 	return list
 }
 
-// part is the log slowdown that r adds to x's service.
-func (c *cycle) part(n *node, x *exposure, r *Run) float64 {
+// part is the log slowdown that the i-th run adds to x's service.
+func (c *cycle) part(n *node, x *exposure, i int) float64 {
+	r := n.w.Runs[i]
 	if c.v.Blind {
 		return blindSlowdown * share(r.Commit.MilliCPU, n.w.Capacity.MilliCPU)
 	}
-	return x.curves.Weight(x.band, Family(r.Spec)).Mean * c.runIntensity(n, r)
+	return x.curves.Weight(x.band, c.profile(r.Spec).family).Mean * c.runIntensity(n, i)
 }
 
 // compareAge orders the younger run first: it has less to lose.
@@ -187,6 +203,7 @@
 		if !r.Throttled || r.Stopping {
 			continue
 		}
+		c.prepare(n)
 		held := sane(r.Commit)
 		want := largest(held, c.commitment(r.Spec, r.ID.Task))
 		want.MemoryMB, want.Accelerators = held.MemoryMB, held.Accelerators
@@ -202,7 +219,7 @@
 func (c *cycle) standsRelease(n *node, r *Run) bool {
 	for i := range n.services {
 		x := &n.services[i]
-		w := x.curves.Weight(x.band, Family(r.Spec))
+		w := x.curves.Weight(x.band, c.profile(r.Spec).family)
 		if x.now+math.Max(0, w.Mean)*(1-throttleTo) > math.Log(aimAt) {
 			return false
 		}
--- a/internal/placement/schedule.go
+++ b/internal/placement/schedule.go
@@ -70,7 +70,7 @@
 		return
 	}
 	c.considered++
-	t := &candidate{p: p, family: Family(p.Spec), commit: c.commitment(p.Spec, p.Task)}
+	t := &candidate{p: p, family: c.profile(p.Spec).family, commit: c.commitment(p.Spec, p.Task)}
 	for _, f := range prefilters {
 		if step, why := f.check(c, t); step != "" {
 			c.refuse(t, step, Reason{Stage: f.name(), Detail: why})
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -69,11 +69,15 @@
 	return n
 }
 
-// run returns the view of the run, or nil. A nil receiver knows none.
-func (w *WorkerView) run(id job.RunID) *RunView {
+// run returns the view of the run, or nil. A nil receiver knows none. The hint
+// is where the run probably is.
+func (w *WorkerView) run(id job.RunID, hint int) *RunView {
 	if w == nil {
 		return nil
 	}
+	if hint < len(w.Runs) && w.Runs[hint].Run == id {
+		return &w.Runs[hint]
+	}
 	for i := range w.Runs {
 		if w.Runs[i].Run == id {
 			return &w.Runs[i]
