Preemption: one victim where one is enough, several per worker

Change: the cheapest single run that makes room goes before a set of runs; a worker may lose several in one cycle.

--- a/internal/placement/cycle.go
+++ b/internal/placement/cycle.go
@@ -56,6 +56,7 @@
 	racks      map[string]map[string]int // runs by job and rack, of replicated jobs
 	profiles   map[*job.Spec]*profile
 	blocked    map[string]struct{} // jobs of which a task found no worker in this cycle
+	preempted  map[*Run]struct{}   // runs that this cycle moves to make room
 	plan       *Plan
 	evicted    int
 	considered int
@@ -74,15 +75,16 @@
 
 func newCycle(s *Snapshot, v *View) *cycle {
 	c := &cycle{
-		s:        s,
-		v:        v,
-		nodes:    make([]*node, 0, len(s.Workers)),
-		headroom: make(map[string]resource.Vector, len(s.Headroom)),
-		profiles: map[*job.Spec]*profile{},
-		blocked:  map[string]struct{}{},
-		plan:     &Plan{},
-		evicted:  v.Evictions,
-		tail:     tailShare(&v.Config),
+		s:         s,
+		v:         v,
+		nodes:     make([]*node, 0, len(s.Workers)),
+		headroom:  make(map[string]resource.Vector, len(s.Headroom)),
+		profiles:  map[*job.Spec]*profile{},
+		blocked:   map[string]struct{}{},
+		preempted: map[*Run]struct{}{},
+		plan:      &Plan{},
+		evicted:   v.Evictions,
+		tail:      tailShare(&v.Config),
 	}
 	for t, h := range s.Headroom {
 		c.headroom[t] = h
@@ -152,9 +154,10 @@
 
 func (c *cycle) decide(d Decision) { c.plan.Decisions = append(c.plan.Decisions, d) }
 
-// step decides a step for a run and returns false where the reason is empty.
+// step decides a step for a run. Apart from preemptions, a worker gets steps of
+// one stage in a cycle.
 func (c *cycle) step(s Step, n *node, r *Run, commit resource.Vector, stage, format string, args ...any) {
-	n.busy = true
+	n.busy = n.busy || s != Preempt
 	c.decide(Decision{
 		Step: s, Task: r.ID.Task, Run: r.ID, Worker: n.w.ID, Commit: commit,
 		Reason: Reason{Stage: stage, Detail: fmt.Sprintf(format, args...)},
--- a/internal/placement/preemption.go
+++ b/internal/placement/preemption.go
@@ -1,12 +1,16 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 
 	"skylarkport/internal/job"
 	"skylarkport/internal/resource"
 )
 
+// maxCleared is how many workers are compared for a preemption.
+const maxCleared = 128
+
 // preempt makes room for an urgent or latency-critical task by moving batch
 // runs of lower priority, on the worker where that costs least. It returns
 // false where t may not preempt or no worker can be cleared.
@@ -22,7 +26,12 @@
 		victims []*Run
 		cost    float64
 	)
-	for _, n := range c.nodes {
+	start := int(startOf(t.p.Task) % uint64(max(len(c.nodes), 1)))
+	for i := range c.nodes {
+		n := c.nodes[(start+i)%len(c.nodes)]
+		if i >= maxCleared && found != nil {
+			break
+		}
 		if !n.open() || n.busy || !t.commit.Fits(sane(n.w.Capacity)) {
 			continue
 		}
@@ -37,6 +46,7 @@
 	for _, r := range victims {
 		c.step(Preempt, found, r, resource.Vector{}, StagePreemption, "makes room for %s", t.p.Task)
 		found.leaving = found.leaving.Add(sane(r.Commit))
+		c.preempted[r] = struct{}{}
 	}
 	c.nominate(found, t)
 	return true
@@ -53,6 +63,12 @@
 	return false
 }
 
+// stopping reports whether r is stopping, also by a decision of this cycle.
+func (c *cycle) stopping(r *Run) bool {
+	_, ok := c.preempted[r]
+	return ok || r.Stopping
+}
+
 // admissible applies the filters that a preemption does not change.
 func (c *cycle) admissible(n *node, t *candidate) bool {
 	return workerProbation{}.check(c, n, t) == "" && failedBefore{}.check(c, n, t) == ""
@@ -68,7 +84,7 @@
 	for i := range n.services {
 		x := n.services[i]
 		for k, r := range n.w.Runs {
-			if r.Spec.Kind == job.Batch && (r.Stopping || slices.Contains(victims, r)) {
+			if r.Spec.Kind == job.Batch && (c.stopping(r) || slices.Contains(victims, r)) {
 				x.remove(c.profile(r.Spec).family, c.runIntensity(n, k))
 			}
 		}
@@ -91,33 +107,62 @@
 	})
 }
 
-// victims returns the runs to move off n so that t fits, cheapest first.
+// victims returns the runs to move off n so that t fits: one run where one is
+// enough, or else the largest first.
 func (c *cycle) victims(n *node, t *candidate) ([]*Run, float64, bool) {
 	if !c.admissible(n, t) {
 		return nil, 0, false
 	}
+	list := c.yielding(n, t)
+	room := n.free.Add(n.leaving)
+	for i, r := range list {
+		if one := list[i : i+1]; c.clears(n, t, room.Add(sane(r.Commit)), one) {
+			return one, price(one), true
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *Run) int { return compareSize(b, a) })
+	for i, r := range list {
+		room = room.Add(sane(r.Commit))
+		if i > 0 && c.clears(n, t, room, list[:i+1]) {
+			return list[:i+1], price(list[:i+1]), true
+		}
+	}
+	return nil, 0, false
+}
+
+// clears reports whether t fits into room and is bearable without the victims.
+func (c *cycle) clears(n *node, t *candidate, room resource.Vector, victims []*Run) bool {
+	return t.commit.Fits(room) && c.bearableWithout(n, t, victims)
+}
+
+// yielding returns the runs on n that make way for t, cheapest first.
+func (c *cycle) yielding(n *node, t *candidate) []*Run {
 	var list []*Run
 	for _, r := range n.w.Runs {
-		if !r.Stopping && r.Spec.Kind == job.Batch && c.yields(r, t) {
+		if !c.stopping(r) && r.Spec.Kind == job.Batch && c.yields(r, t) {
 			list = append(list, r)
 		}
 	}
 	slices.SortStableFunc(list, func(a, b *Run) int {
-		if a.Spec.Priority != b.Spec.Priority {
-			return a.Spec.Priority - b.Spec.Priority
-		}
-		return a.Evictions - b.Evictions
+		return cmp.Or(cmp.Compare(loss(a), loss(b)), compareSize(a, b))
 	})
-	room := n.free.Add(n.leaving)
-	cost := 0.0
-	for i, r := range list {
-		room = room.Add(sane(r.Commit))
-		cost += 1 + float64(r.Evictions) + float64(r.Spec.Priority)/100
-		if t.commit.Fits(room) && c.bearableWithout(n, t, list[:i+1]) {
-			return list[:i+1], cost, true
-		}
+	return list
+}
+
+func compareSize(a, b *Run) int { return cmp.Compare(a.Commit.MilliCPU, b.Commit.MilliCPU) }
+
+// loss is what moving a run costs beyond the move itself, in moves.
+func loss(r *Run) float64 {
+	return 0.5*float64(r.Evictions) + float64(min(max(r.Spec.Priority, 0), 100))/200
+}
+
+// price is the cost of moving the runs, in moves.
+func price(victims []*Run) float64 {
+	sum := 0.0
+	for _, r := range victims {
+		sum += 1 + loss(r)
 	}
-	return nil, 0, false
+	return sum
 }
 
 // yields reports whether run r makes way for t.
--- a/internal/policybench/load.go
+++ b/internal/policybench/load.go
@@ -10,15 +10,16 @@
 )
 
 const (
-	tasksPerJob = 30
-	urgentShare = 0.03
-	dueShare    = 0.5
-	waveShare   = 0.5 // of the jobs during a noise wave
-	calmLoad    = 0.22
-	noonLoad    = 0.4
-	closingLoad = 0.82
-	loadJitter  = 0.04
-	skewOfLoad  = 0.08
+	tasksPerJob    = 30
+	urgentShare    = 0.03
+	urgentPriority = 60 // added to the priority of urgent jobs
+	dueShare       = 0.5
+	waveShare      = 0.5 // of the jobs during a noise wave
+	calmLoad       = 0.22
+	noonLoad       = 0.4
+	closingLoad    = 0.82
+	loadJitter     = 0.04
+	skewOfLoad     = 0.08
 )
 
 // dayLoad is the services' load at a fraction of the day: calm at night, a
@@ -80,6 +81,9 @@
 		Tasks:    n, Retries: 5,
 		Needs: f.declared, RunTime: job.Duration(f.declaredTime),
 	}
+	if s.Urgent {
+		s.Priority = min(s.Priority+urgentPriority, 100)
+	}
 	s.Family = f.name
 	s.Tenant = "workshop"
 	if a.rng.Float64() < dueShare {
