Preemption: count the tasks that one victim makes room for; weigh urgent work and moves

Cause: urgent tasks waited for the interference limit (6 to 9 s), and each cost a victim of its own. Change: urgent tasks are held to a limit of their own; the price of a victim is shared among the tasks of the job that fit into its room; the weight of evictions raises the latency at which runs are moved.

--- a/internal/placement/config.go
+++ b/internal/placement/config.go
@@ -49,9 +49,16 @@
 
 // tailShare returns the weight of tail latency among all weights, in [0, 1].
 func tailShare(c *bundle.Placement) float64 {
+	return weightShare(c, c.TailWeight)
+}
+
+// evictionShare returns the weight of evictions among all weights, in [0, 1].
+func evictionShare(c *bundle.Placement) float64 { return weightShare(c, c.EvictionWeight) }
+
+func weightShare(c *bundle.Placement, w float64) float64 {
 	sum := c.TailWeight + c.ThroughputWeight + c.EvictionWeight
 	if sum <= 0 {
 		return 0
 	}
-	return c.TailWeight / sum
+	return w / sum
 }
--- a/internal/placement/interference_limit.go
+++ b/internal/placement/interference_limit.go
@@ -18,6 +18,9 @@
 	nowTail   = 0.15
 	nextLimit = 1.25
 	nextTail  = 0.35
+	// urgentLimit, lowered in the same way, holds for urgent tasks.
+	urgentLimit = 1.3
+	urgentTail  = 0.3
 	// caution is how many standard deviations are added to a weight, times
 	// the share of tail latency among the weights.
 	caution = 1.0
@@ -34,16 +37,20 @@
 	}
 	c.prepare(n)
 	for i := range n.services {
-		if !c.bearable(&n.services[i], t.family) {
+		if !c.bearable(&n.services[i], t) {
 			return StageInterference
 		}
 	}
 	return ""
 }
 
-// bearable reports whether the service of x stands one more run of the family.
-func (c *cycle) bearable(x *exposure, family string) bool {
-	w := x.curves.Weight(x.band, family)
+// bearable reports whether the service of x stands one more run of t's family.
+// An urgent task is held to the present limit only.
+func (c *cycle) bearable(x *exposure, t *candidate) bool {
+	w := x.curves.Weight(x.band, t.family)
+	if t.p.Spec.Urgent {
+		return !x.known || x.now+math.Max(0, w.Mean) <= math.Log(urgentLimit-urgentTail*c.tail)
+	}
 	if !w.Proven() && x.unproven >= maxUnproven {
 		return false
 	}
@@ -51,7 +58,7 @@
 		return x.unproven < maxUnproven
 	}
 	now := x.now + w.Upper(caution*c.tail)
-	next := x.next + math.Max(0, x.curves.Weight(x.up(), family).Mean)
+	next := x.next + math.Max(0, x.curves.Weight(x.up(), t.family).Mean)
 	return now <= math.Log(nowLimit-nowTail*c.tail) && next <= math.Log(nextLimit-nextTail*c.tail)
 }
 
--- a/internal/placement/preemption.go
+++ b/internal/placement/preemption.go
@@ -88,7 +88,7 @@
 				x.remove(c.profile(r.Spec).family, c.runIntensity(n, k))
 			}
 		}
-		if !c.bearable(&x, t.family) {
+		if !c.bearable(&x, t) {
 			return false
 		}
 	}
@@ -107,29 +107,52 @@
 	})
 }
 
-// victims returns the runs to move off n so that t fits: one run where one is
-// enough, or else the largest first.
+// victims returns the runs to move off n so that t fits, and their price for
+// each task of t's job that they make room for: one run where one is enough, or
+// else the largest first.
 func (c *cycle) victims(n *node, t *candidate) ([]*Run, float64, bool) {
 	if !c.admissible(n, t) {
 		return nil, 0, false
 	}
 	list := c.yielding(n, t)
 	room := n.free.Add(n.leaving)
-	for i, r := range list {
-		if one := list[i : i+1]; c.clears(n, t, room.Add(sane(r.Commit)), one) {
-			return one, price(one), true
-		}
+	if one, cost := c.single(n, t, list, room); one != nil {
+		return one, cost, true
 	}
 	slices.SortStableFunc(list, func(a, b *Run) int { return compareSize(b, a) })
 	for i, r := range list {
 		room = room.Add(sane(r.Commit))
 		if i > 0 && c.clears(n, t, room, list[:i+1]) {
-			return list[:i+1], price(list[:i+1]), true
+			return list[:i+1], price(list[:i+1]) / t.served(room), true
 		}
 	}
 	return nil, 0, false
 }
 
+// single returns the one run that makes room at the lowest price, or nil.
+func (c *cycle) single(n *node, t *candidate, list []*Run, room resource.Vector) ([]*Run, float64) {
+	var (
+		found []*Run
+		least float64
+	)
+	for i, r := range list {
+		one, after := list[i:i+1], room.Add(sane(r.Commit))
+		cost := price(one) / t.served(after)
+		if (found == nil || cost < least) && c.clears(n, t, after, one) {
+			found, least = one, cost
+		}
+	}
+	return found, least
+}
+
+// served is how many tasks of t's job fit into room, at least 1 and at most
+// those that wait.
+func (t *candidate) served(room resource.Vector) float64 {
+	n := int64(max(t.waiting, 1))
+	n = min(n, room.MilliCPU/max(t.commit.MilliCPU, 1), room.MemoryMB/max(t.commit.MemoryMB, 1))
+	return float64(max(n, 1))
+}
+
 // clears reports whether t fits into room and is bearable without the victims.
 func (c *cycle) clears(n *node, t *candidate, room resource.Vector, victims []*Run) bool {
 	return t.commit.Fits(room) && c.bearableWithout(n, t, victims)
--- a/internal/placement/respond.go
+++ b/internal/placement/respond.go
@@ -15,6 +15,9 @@
 	actAbove  = 1.0
 	actTail   = 0.15
 	calmBelow = 0.7
+	// moveRise is added to the threshold for moves, times the share of evictions
+	// among the weights.
+	moveRise = 1.5
 	// aimAt is the latency over target that a step aims at.
 	aimAt = 0.8
 	// severe is the latency over target at which runs are moved at once.
@@ -112,9 +115,15 @@
 			return
 		}
 	}
-	c.displace(n, list, excess, ratio)
+	if ratio >= c.moveAbove() {
+		c.displace(n, list, excess, ratio)
+	}
 }
 
+// moveAbove is the latency over target above which runs are moved: the weight
+// of evictions raises it.
+func (c *cycle) moveAbove() float64 { return c.threshold() + moveRise*evictionShare(&c.v.Config) }
+
 // throttle returns what is left of the excess.
 func (c *cycle) throttle(n *node, list []blame, excess, ratio float64) float64 {
 	for _, b := range list {
--- a/internal/placement/schedule.go
+++ b/internal/placement/schedule.go
@@ -45,32 +45,33 @@
 
 // candidate is a pending task with what the stages worked out for it.
 type candidate struct {
-	p      *Pending
-	family string
-	commit resource.Vector
-	reject map[string]int // workers by the filter that excluded them
+	p       *Pending
+	waiting int // tasks of the job that are still to be placed, with this one
+	family  string
+	commit  resource.Vector
+	reject  map[string]int // workers by the filter that excluded them
 }
 
 // schedule places the pending tasks in queue order.
 func (c *cycle) schedule() {
 	for _, g := range c.order() {
-		for _, p := range g.tasks {
+		for i, p := range g.tasks {
 			if c.considered == maxConsidered {
 				return
 			}
-			c.place(p)
+			c.place(p, len(g.tasks)-i)
 		}
 	}
 }
 
 // place decides on one task. Where an equal task of its job found no worker in
-// this cycle, none is looked for.
-func (c *cycle) place(p *Pending) {
+// this cycle, none is looked for. waiting counts the tasks of the job from p on.
+func (c *cycle) place(p *Pending, waiting int) {
 	if _, blocked := c.blocked[p.Task.Job]; blocked && c.plain(p) {
 		return
 	}
 	c.considered++
-	t := &candidate{p: p, family: c.profile(p.Spec).family, commit: c.commitment(p.Spec, p.Task)}
+	t := &candidate{p: p, waiting: waiting, family: c.profile(p.Spec).family, commit: c.commitment(p.Spec, p.Task)}
 	for _, f := range prefilters {
 		if step, why := f.check(c, t); step != "" {
 			c.refuse(t, step, Reason{Stage: f.name(), Detail: why})
