--- a/internal/placement/interference_limit.go
+++ b/internal/placement/interference_limit.go
@@ -16,8 +16,8 @@
 	// in the same way the limit that holds if load rises by one band.
 	nowLimit  = 0.95
 	nowTail   = 0.15
-	nextLimit = 1.25
-	nextTail  = 0.35
+	nextLimit = 1.1
+	nextTail  = 0.25
 	// urgentLimit, lowered in the same way, holds for urgent tasks.
 	urgentLimit = 1.3
 	urgentTail  = 0.3
