Interference: interpolate what was learned between load bands

Cause: within a band the prediction jumped at its limits. Change: quiet level and weights are interpolated between band centers; placements are judged at the present load and at one 0.2 higher.

--- a/internal/placement/exposure.go
+++ b/internal/placement/exposure.go
@@ -10,6 +10,7 @@
 
 const (
 	maxIntensity = 2.0 // of one run
+	loadRise     = 0.2 // of a service's load, against which placements are judged too
 	freshRatios  = 2   // measurements that a step rests on
 )
 
@@ -21,8 +22,10 @@
 	curves *interference.Curves
 	known  bool // a quiet level was observed
 	band   int
-	now    float64 // log, in the present band
-	next   float64 // log, one band up
+	at     interference.Position // present load
+	above  interference.Position // a load that is higher by loadRise
+	now    float64               // log, in the present band
+	next   float64               // log, at the higher load
 	// unproven counts neighbours whose effect is not known.
 	unproven int
 }
@@ -43,16 +46,18 @@
 func (c *cycle) exposure(n *node, i int) exposure {
 	r := n.w.Runs[i]
 	x := exposure{run: r, view: n.view.run(r.ID, i), curves: c.v.Interference[c.profile(r.Spec).family]}
+	load := 0.0
 	if x.view != nil {
-		x.band = interference.Band(x.view.Load)
+		load = x.view.Load
 	}
-	level, ok := x.curves.Level(x.band)
+	x.band, x.at, x.above = interference.Band(load), interference.Locate(load), interference.Locate(load+loadRise)
+	level, ok := x.curves.QuietAt(x.at)
 	if !ok {
 		return x
 	}
 	x.known = true
 	target := math.Log(r.Spec.Target.D().Seconds())
-	above, _ := x.curves.Level(x.up())
+	above, _ := x.curves.QuietAt(x.above)
 	x.now, x.next = level-target, above-target
 	for k, o := range n.w.Runs {
 		if o.Spec.Kind == job.Batch {
@@ -71,8 +76,8 @@
 	if !w.Proven() {
 		x.unproven++
 	}
-	x.now += math.Max(0, w.Mean) * intensity
-	x.next += math.Max(0, x.curves.Weight(x.up(), family).Mean) * intensity
+	x.now += x.curves.Mean(x.at, family) * intensity
+	x.next += x.curves.Mean(x.above, family) * intensity
 }
 
 // remove takes a neighbour of the family away.
@@ -81,13 +86,10 @@
 	if !w.Proven() {
 		x.unproven--
 	}
-	x.now -= math.Max(0, w.Mean) * intensity
-	x.next -= math.Max(0, x.curves.Weight(x.up(), family).Mean) * intensity
+	x.now -= x.curves.Mean(x.at, family) * intensity
+	x.next -= x.curves.Mean(x.above, family) * intensity
 }
 
-// up returns the next band up.
-func (x *exposure) up() int { return min(x.band+1, interference.Bands-1) }
-
 // measured returns the median of the latencies over target that were measured
 // since the worker's last change, and false where there are too few.
 func (c *cycle) measured(w *Worker, v *RunView) (float64, bool) {
--- a/internal/placement/interference_limit.go
+++ b/internal/placement/interference_limit.go
@@ -13,7 +13,7 @@
 const (
 	// nowLimit is the latency over target up to which batch work is added;
 	// the weight of tail latency lowers it by up to nowTail. nextTail lowers
-	// in the same way the limit that holds if load rises by one band.
+	// in the same way the limit that holds if load rises by loadRise.
 	nowLimit  = 0.95
 	nowTail   = 0.15
 	nextLimit = 1.1
@@ -49,7 +49,7 @@
 func (c *cycle) bearable(x *exposure, t *candidate) bool {
 	w := x.curves.Weight(x.band, t.family)
 	if t.p.Spec.Urgent {
-		return !x.known || x.now+math.Max(0, w.Mean) <= math.Log(urgentLimit-urgentTail*c.tail)
+		return !x.known || x.now+x.curves.Mean(x.at, t.family) <= math.Log(urgentLimit-urgentTail*c.tail)
 	}
 	if !w.Proven() && x.unproven >= maxUnproven {
 		return false
@@ -57,8 +57,8 @@
 	if !x.known {
 		return x.unproven < maxUnproven
 	}
-	now := x.now + w.Upper(caution*c.tail)
-	next := x.next + math.Max(0, x.curves.Weight(x.up(), t.family).Mean)
+	now := x.now + x.curves.Mean(x.at, t.family) + caution*c.tail*math.Sqrt(w.Variance)
+	next := x.next + x.curves.Mean(x.above, t.family)
 	return now <= math.Log(nowLimit-nowTail*c.tail) && next <= math.Log(nextLimit-nextTail*c.tail)
 }
 
@@ -69,8 +69,7 @@
 	sum := 0.0
 	for i := range n.services {
 		x := &n.services[i]
-		w := x.curves.Weight(x.band, t.family)
-		sum += math.Max(0, w.Mean) * (1 + math.Exp(x.now))
+		sum += x.curves.Mean(x.at, t.family) * (1 + math.Exp(x.now))
 	}
 	return sum
 }
--- a/internal/placement/respond.go
+++ b/internal/placement/respond.go
@@ -191,7 +191,7 @@
 	if c.v.Blind {
 		return blindSlowdown * share(r.Commit.MilliCPU, n.w.Capacity.MilliCPU)
 	}
-	return x.curves.Weight(x.band, c.profile(r.Spec).family).Mean * c.runIntensity(n, i)
+	return x.curves.Mean(x.at, c.profile(r.Spec).family) * c.runIntensity(n, i)
 }
 
 // compareAge orders the younger run first: it has less to lose.
@@ -228,8 +228,7 @@
 func (c *cycle) standsRelease(n *node, r *Run) bool {
 	for i := range n.services {
 		x := &n.services[i]
-		w := x.curves.Weight(x.band, c.profile(r.Spec).family)
-		if x.now+math.Max(0, w.Mean)*(1-throttleTo) > math.Log(aimAt) {
+		if x.now+x.curves.Mean(x.at, c.profile(r.Spec).family)*(1-throttleTo) > math.Log(aimAt) {
 			return false
 		}
 	}
