Placement: urgent tasks in order of arrival, and without the interference limit after 2 s

Cause: room made for one urgent task was taken by a later one, or the service's limit held the task off it again.

--- a/internal/placement/grow.go
+++ b/internal/placement/grow.go
@@ -17,7 +17,8 @@
 
 // grow sizes running tasks again: more memory before it runs out, by a move
 // where the worker has none left; more processors where some are free; less
-// where tasks wait and the run holds far more than its family uses.
+// where tasks wait and the run holds far more than its family uses. Room that is
+// being made for a task is left to it.
 func (c *cycle) grow() {
 	for _, n := range c.nodes {
 		if n.busy || n.w.Health != Healthy || n.over {
@@ -44,7 +45,7 @@
 		c.growMemory(n, r, held, want)
 		return
 	}
-	if float64(v.Used.MilliCPU) >= tightProcessor*float64(held.MilliCPU) {
+	if n.leaving.IsZero() && float64(v.Used.MilliCPU) >= tightProcessor*float64(held.MilliCPU) {
 		c.growProcessors(n, r, held)
 		return
 	}
--- a/internal/placement/interference_limit.go
+++ b/internal/placement/interference_limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"skylarkport/internal/job"
 )
@@ -21,6 +22,8 @@
 	// urgentLimit, lowered in the same way, holds for urgent tasks.
 	urgentLimit = 1.3
 	urgentTail  = 0.3
+	// urgentPatience is how long an urgent task is held to it.
+	urgentPatience = 2 * time.Second
 	// caution is how many standard deviations are added to a weight, times
 	// the share of tail latency among the weights.
 	caution = 1.0
@@ -49,7 +52,8 @@
 func (c *cycle) bearable(x *exposure, t *candidate) bool {
 	w := x.curves.Weight(x.band, t.family)
 	if t.p.Spec.Urgent {
-		return !x.known || x.now+x.curves.Mean(x.at, t.family) <= math.Log(urgentLimit-urgentTail*c.tail)
+		return !x.known || c.s.Now-t.p.Submitted >= urgentPatience ||
+			x.now+x.curves.Mean(x.at, t.family) <= math.Log(urgentLimit-urgentTail*c.tail)
 	}
 	if !w.Proven() && x.unproven >= maxUnproven {
 		return false
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -17,6 +17,10 @@
 	runTimeMargin = 1.25 // on the expected run time
 	criticalBoost = 200.0
 	urgentBoost   = 1000.0
+	// Urgent tasks go nearly in order of arrival, so that room made for one is
+	// not taken by the next.
+	urgentPerSecond = 50.0
+	maxUrgentAge    = 1000.0
 )
 
 // group is the tasks of one job that may start now, with their effective
@@ -101,7 +105,7 @@
 	waited := max(c.s.Now-p.Submitted, 0)
 	r += math.Min(maxAge, waited.Minutes()*agePerMinute)
 	if p.Spec.Urgent {
-		r += urgentBoost
+		r += urgentBoost + math.Min(maxUrgentAge, waited.Seconds()*urgentPerSecond)
 	}
 	if job.ClassOf(p.Spec.Kind) == job.LatencyCritical {
 		return r + criticalBoost
--- a/internal/placement/preemption.go
+++ b/internal/placement/preemption.go
@@ -103,7 +103,7 @@
 	c.charge(t)
 	c.decide(Decision{
 		Step: Wait, Task: t.p.Task, Worker: n.w.ID,
-		Reason: Reason{Stage: StagePreemption, Detail: "room is being made on " + n.w.ID},
+		Reason: Reason{Stage: StagePreemption, Detail: "room is being made on " + n.w.ID + "; now: " + t.why().Detail},
 	})
 }
 
