Tests of the stages, the interference model, the quarantine and the queues

Cause: only a random test covered the decisions. Change: datadriven cases of Decide, tables of the response, quarantine and queue events. Found and mended: a run with next to no part in a slowdown was moved when the budget of the one to blame was spent.

--- a/internal/placement/respond.go
+++ b/internal/placement/respond.go
@@ -24,6 +24,8 @@
 	severe = 1.5
 	// throttleTo is the fraction of its commitment that a throttled run keeps.
 	throttleTo = 0.4
+	// worthMoving is the least log slowdown for which a run is moved.
+	worthMoving = 0.05
 	// meaningful is the least log slowdown that a run is blamed for.
 	meaningful = 0.02
 	// blindSlowdown is the log slowdown assumed of a run that fills a worker.
@@ -155,7 +157,7 @@
 		if excess <= 0 || c.evicted >= c.v.Config.EvictionsPerHour {
 			return
 		}
-		if b.run.Evictions >= c.v.Config.EvictionsPerJob {
+		if b.part < worthMoving || b.run.Evictions >= c.v.Config.EvictionsPerJob {
 			continue
 		}
 		c.evicted++
--- /dev/null
+++ b/internal/placement/stage_test.go
@@ -0,0 +1,356 @@
+package placement
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"skylarkport/internal/bundle"
+	"skylarkport/internal/contract"
+	"skylarkport/internal/job"
+	"skylarkport/internal/quarantine"
+	"skylarkport/internal/resource"
+)
+
+// TestDecide runs the cases under testdata. A case describes workers, runs and
+// pending tasks, one a line, and lists the plan.
+func TestDecide(t *testing.T) {
+	datadriven.RunTest(t, "testdata/decide", func(t *testing.T, d *datadriven.TestData) string {
+		w := newWorld()
+		for _, line := range strings.Split(d.Input, "\n") {
+			w.line(t, line)
+		}
+		return describe(Decide(w.s, w.e.Freeze()))
+	})
+}
+
+// world is a snapshot and an engine built line by line.
+type world struct {
+	s    *Snapshot
+	e    *Engine
+	last *Worker
+}
+
+func newWorld() *world {
+	return &world{
+		s: &Snapshot{Now: time.Hour, Headroom: map[string]resource.Vector{}},
+		e: New(bundle.Placement{TailWeight: 6, ThroughputWeight: 2, EvictionWeight: 1}),
+	}
+}
+
+// line adds what one line says: "worker id rack cores memory [flags]",
+// "run job kind cores memory [flags]" on the last worker, "pending job kind
+// cores memory [flags]", or "headroom tenant cores memory".
+func (w *world) line(t *testing.T, s string) {
+	f := strings.Fields(s)
+	if len(f) == 0 {
+		return
+	}
+	flags := map[string]bool{}
+	for _, x := range f {
+		flags[x] = true
+	}
+	var v resource.Vector
+	if _, err := fmt.Sscanf(f[len(f)-1-countFlags(f)], "%d/%d/%d", &v.MilliCPU, &v.MemoryMB, &v.Accelerators); err != nil {
+		t.Fatalf("%q: %v", s, err)
+	}
+	switch f[0] {
+	case "worker":
+		w.worker(f, flags, v)
+	case "run":
+		w.run(f, flags, v)
+	case "pending":
+		w.pending(f, flags, v)
+	case "headroom":
+		w.s.Headroom[f[1]] = v
+	}
+}
+
+// countFlags counts the words after the amount.
+func countFlags(f []string) int {
+	n := 0
+	for i := len(f) - 1; !strings.Contains(f[i], "/"); i-- {
+		n++
+	}
+	return n
+}
+
+func (w *world) worker(f []string, flags map[string]bool, v resource.Vector) {
+	w.last = &Worker{ID: f[1], Rack: f[2], Capacity: v}
+	if flags["unreachable"] {
+		w.last.Health = Unreachable
+	}
+	if flags["leaving"] {
+		w.last.Health = Leaving
+	}
+	if flags["quarantined"] {
+		for i := range 3 {
+			w.e.Ended(End{
+				Now: w.s.Now, Worker: w.last.ID, State: contract.Failed,
+				Spec: &job.Spec{ID: fmt.Sprintf("failed-%d", i), Kind: job.Batch},
+			})
+		}
+	}
+	w.s.Workers = append(w.s.Workers, w.last)
+}
+
+func specOf(f []string, flags map[string]bool, v resource.Vector) *job.Spec {
+	s := &job.Spec{ID: f[1], Tenant: "a", Kind: job.Kind(f[2]), Needs: v, Priority: 50, Urgent: flags["urgent"], Retries: 2}
+	if flags["low"] {
+		s.Priority = 10
+	}
+	if flags["high"] {
+		s.Priority = 90
+	}
+	if s.Kind == job.Service {
+		s.Target = job.Duration(100 * time.Millisecond)
+	}
+	return s
+}
+
+func (w *world) run(f []string, flags map[string]bool, v resource.Vector) {
+	s := specOf(f, flags, v)
+	r := &Run{
+		ID: job.RunID{Task: job.TaskID{Job: s.ID, Index: len(w.last.Runs)}, Attempt: 1}, Spec: s, Commit: v,
+		Stopping: flags["stopping"], Throttled: flags["throttled"], Started: w.s.Now - time.Minute,
+	}
+	w.last.Runs = append(w.last.Runs, r)
+	if !flags["full-memory"] && !flags["full-processors"] {
+		return
+	}
+	u := contract.Usage{Used: resource.Vector{MilliCPU: v.MilliCPU / 2, MemoryMB: v.MemoryMB / 2}}
+	if flags["full-memory"] {
+		u.Used.MemoryMB = v.MemoryMB
+	}
+	if flags["full-processors"] {
+		u.Used.MilliCPU = v.MilliCPU
+	}
+	w.e.Observe(Report{Worker: w.last.ID, Now: w.s.Now, Runs: []RunUsage{{
+		Run: r.ID, Spec: s, Commit: v, At: w.s.Now - time.Second, Usage: u,
+	}}})
+}
+
+func (w *world) pending(f []string, flags map[string]bool, v resource.Vector) {
+	s := specOf(f, flags, v)
+	p := &Pending{Task: job.TaskID{Job: s.ID, Index: len(w.s.Pending)}, Spec: s, Submitted: w.s.Now - time.Second}
+	if flags["backing-off"] {
+		p.NotBefore = w.s.Now + time.Second
+	}
+	if flags["failed"] {
+		p.Failures, p.FailedOn = 3, []string{"w1", "w1", "w1"}
+	}
+	if flags["failed-once"] {
+		p.Failures, p.FailedOn = 1, []string{"w1"}
+	}
+	if flags["waited"] {
+		p.Submitted = 0
+	}
+	if flags["due"] {
+		s.RunTime, s.Deadline = job.Duration(time.Minute), job.Duration(2*time.Minute)
+	}
+	w.s.Pending = append(w.s.Pending, p)
+}
+
+func describe(p *Plan) string {
+	var b strings.Builder
+	for _, d := range p.Decisions {
+		fmt.Fprintf(&b, "%s %s", d.Step, d.Task)
+		if d.Worker != "" {
+			fmt.Fprintf(&b, " on %s", d.Worker)
+		}
+		if !d.Commit.IsZero() {
+			fmt.Fprintf(&b, " with %d/%d/%d", d.Commit.MilliCPU, d.Commit.MemoryMB, d.Commit.Accelerators)
+		}
+		fmt.Fprintf(&b, ": %s\n", d.Reason.Stage)
+	}
+	for _, w := range p.Waiting {
+		fmt.Fprintf(&b, "waiting %s: %s: %s\n", w.Job, w.Reason.Stage, w.Reason.Detail)
+	}
+	return b.String()
+}
+
+// interfered returns a world with a service beside one run of a noisy family,
+// reported at the ratio of its target, and a run of a quiet family.
+func interfered(t *testing.T, ratio float64, changed time.Duration) *world {
+	t.Helper()
+	w := newWorld()
+	target := 100 * time.Millisecond
+	service := &job.Spec{ID: "s", Tenant: "a", Kind: job.Service, Target: job.Duration(target)}
+	noisy := &job.Spec{ID: "n", Tenant: "a", Kind: job.Batch, Family: "noisy"}
+	quiet := &job.Spec{ID: "q", Tenant: "a", Kind: job.Batch, Family: "quiet"}
+	commit := resource.Vector{MilliCPU: 4000, MemoryMB: 1000}
+	usage := func(s *job.Spec, at time.Duration, p99 float64) RunUsage {
+		return RunUsage{
+			Run: job.RunID{Task: job.TaskID{Job: s.ID}, Attempt: 1}, Spec: s, Commit: commit, At: at,
+			Usage: contract.Usage{Used: resource.Vector{MilliCPU: 3000, MemoryMB: 500}, Load: 0.7, P99: job.Duration(p99 * float64(target))},
+		}
+	}
+	for i := range 60 {
+		at := time.Duration(i+1) * 10 * time.Second
+		beside := [][]*job.Spec{{service}, {service, quiet}, {service, noisy}}[i%3]
+		p99 := []float64{0.4, 0.41, 1.1}[i%3]
+		rep := Report{Worker: "teacher", Now: at}
+		for _, s := range beside {
+			rep.Runs = append(rep.Runs, usage(s, at, p99))
+		}
+		w.e.Observe(rep)
+	}
+	worker := &Worker{ID: "w1", Rack: "r1", Capacity: resource.Vector{MilliCPU: 32000, MemoryMB: 64000}, Changed: changed}
+	for _, s := range []*job.Spec{service, quiet, noisy} {
+		worker.Runs = append(worker.Runs, &Run{ID: job.RunID{Task: job.TaskID{Job: s.ID}, Attempt: 1}, Spec: s, Commit: commit})
+	}
+	w.s.Workers = []*Worker{worker}
+	for i := range 3 {
+		at := w.s.Now - time.Duration(30-i)*time.Second
+		rep := Report{Worker: "w1", Now: w.s.Now, Changed: changed}
+		for _, s := range []*job.Spec{service, quiet, noisy} {
+			rep.Runs = append(rep.Runs, usage(s, at, ratio))
+		}
+		w.e.Observe(rep)
+	}
+	return w
+}
+
+func TestRespond(t *testing.T) {
+	long := 10 * time.Minute
+	tests := []struct {
+		name    string
+		ratio   float64
+		changed time.Duration
+		edit    func(*world)
+		want    string
+	}{
+		{name: "calm", ratio: 0.6, want: ""},
+		{name: "over target", ratio: 1.2, want: "throttle n/0 on w1 with 1600/1000/0: Interference\n"},
+		{name: "severe", ratio: 1.8, want: "move n/0 on w1: Interference\n"},
+		{name: "reports older than the last change", ratio: 1.8, changed: time.Hour - 20*time.Second, want: ""},
+		{name: "in cooldown", ratio: 1.2, edit: func(w *world) {
+			w.e.Applied(w.s.Now-time.Second, &Plan{Decisions: []Decision{{Step: Throttle, Worker: "w1", Reason: Reason{Stage: StageInterference}}}})
+		}, want: ""},
+		{name: "throttled already", ratio: 1.2, edit: func(w *world) {
+			w.s.Workers[0].Runs[2].Throttled = true
+		}, want: "move n/0 on w1: Interference\n"},
+		{name: "budget of the tasks spent", ratio: 1.8, edit: func(w *world) {
+			w.s.Workers[0].Runs[1].Evictions = 3
+			w.s.Workers[0].Runs[2].Evictions = 3
+		}, want: ""},
+		{name: "budget of the shard spent", ratio: 1.8, edit: func(w *world) {
+			for range 120 {
+				w.e.Applied(w.s.Now-long, &Plan{Decisions: []Decision{{Step: Move, Worker: "w9", Reason: Reason{Stage: StageInterference}}}})
+			}
+		}, want: ""},
+		{name: "a move did not help", ratio: 1.8, edit: func(w *world) {
+			w.e.Applied(w.s.Now-time.Minute, &Plan{Decisions: []Decision{{Step: Move, Worker: "w1", Reason: Reason{Stage: StageInterference}}}})
+		}, want: "evict n/0 on w1: Interference\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := interfered(t, tt.ratio, tt.changed)
+			if tt.edit != nil {
+				tt.edit(w)
+			}
+			if got := describe(Decide(w.s, w.e.Freeze())); got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestLearnedNeighbours checks that a family that was seen to slow a service
+// down is placed away from it.
+func TestLearnedNeighbours(t *testing.T) {
+	for _, family := range []string{"noisy", "quiet"} {
+		w := interfered(t, 0.5, 0)
+		w.s.Workers[0].Runs = w.s.Workers[0].Runs[:1]
+		w.s.Pending = []*Pending{{Task: job.TaskID{Job: "p"}, Spec: &job.Spec{
+			ID: "p", Tenant: "a", Kind: job.Batch, Family: family, Needs: resource.Vector{MilliCPU: 100, MemoryMB: 100},
+		}}}
+		got := describe(Decide(w.s, w.e.Freeze()))
+		if placed := strings.HasPrefix(got, "place"); placed != (family == "quiet") {
+			t.Errorf("%s: %s", family, got)
+		}
+	}
+}
+
+// TestFailuresOnQuarantinedWorkers checks that a task is not set aside for what
+// a bad worker did.
+func TestFailuresOnQuarantinedWorkers(t *testing.T) {
+	w := newWorld()
+	for _, l := range []string{"worker w1 r1 8000/8000/0 quarantined", "worker w2 r1 8000/8000/0", "pending p batch 100/100/0 failed"} {
+		w.line(t, l)
+	}
+	v := w.e.Freeze()
+	if v.Quarantine["w1"] != quarantine.Held {
+		t.Fatalf("w1 is not in quarantine: %v", v.Quarantine)
+	}
+	if got := describe(Decide(w.s, v)); !strings.HasPrefix(got, "place p/0 on w2") {
+		t.Errorf("got %s", got)
+	}
+}
+
+// TestOutgrownTask checks that a task that ran out of memory gets more.
+func TestOutgrownTask(t *testing.T) {
+	w := newWorld()
+	w.line(t, "worker w1 r1 8000/8000/0")
+	w.line(t, "pending p batch 100/1000/0")
+	p := w.s.Pending[0]
+	w.e.Ended(End{Run: job.RunID{Task: p.Task}, Spec: p.Spec, Commit: p.Spec.Needs, State: contract.Failed, Reason: ReasonMemory})
+	if got := describe(Decide(w.s, w.e.Freeze())); !strings.HasPrefix(got, "place p/0 on w1 with 100/2000/0") {
+		t.Errorf("got %s", got)
+	}
+}
+
+// TestCommitmentFollowsObservation checks that a family is committed at what it
+// uses, also above its declaration, and never above the largest worker.
+func TestCommitmentFollowsObservation(t *testing.T) {
+	tests := []struct {
+		name     string
+		used     resource.Vector
+		min, max resource.Vector
+	}{
+		// With the margins of 15% and 25%, and less than 10% of rounding.
+		{
+			"far below the declaration",
+			resource.Vector{MilliCPU: 500, MemoryMB: 300},
+			resource.Vector{MilliCPU: 575, MemoryMB: 375},
+			resource.Vector{MilliCPU: 632, MemoryMB: 412},
+		},
+		{
+			"above the declaration",
+			resource.Vector{MilliCPU: 5000, MemoryMB: 300},
+			resource.Vector{MilliCPU: 5750, MemoryMB: 375},
+			resource.Vector{MilliCPU: 6325, MemoryMB: 412},
+		},
+		{
+			"above the worker",
+			resource.Vector{MilliCPU: 50000, MemoryMB: 300},
+			resource.Vector{MilliCPU: 8000, MemoryMB: 375},
+			resource.Vector{MilliCPU: 8000, MemoryMB: 412},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld()
+			w.line(t, "worker w1 r1 8000/8000/0")
+			w.line(t, "pending p batch 2000/4000/0")
+			s := w.s.Pending[0].Spec
+			commit := resource.Vector{MilliCPU: 60000, MemoryMB: 4000}
+			for i := range 40 {
+				id := job.RunID{Task: job.TaskID{Job: "old", Index: i}, Attempt: 1}
+				at := time.Duration(i+1) * time.Second
+				w.e.Observe(Report{Worker: "w1", Now: at, Runs: []RunUsage{{Run: id, Spec: s, Commit: commit, At: at, Usage: contract.Usage{Used: tt.used}}}})
+				w.e.Ended(End{Now: at, Worker: "w1", Run: id, Spec: s, State: contract.Finished, RunTime: time.Minute})
+			}
+			p := Decide(w.s, w.e.Freeze())
+			if len(p.Decisions) != 1 || p.Decisions[0].Step != Place {
+				t.Fatalf("got %s", describe(p))
+			}
+			if got := p.Decisions[0].Commit; !tt.min.Fits(got) || !got.Fits(tt.max) {
+				t.Errorf("commits %+v, want %+v to %+v", got, tt.min, tt.max)
+			}
+		})
+	}
+}
