chaos: lookups answered through outages, requests in flight at every stop

Change: every lookup in a table outage or a zone's cut from the platform must be answered; a graceful stop that met nothing in flight fails the case.

--- a/test/chaos/callers_test.go
+++ b/test/chaos/callers_test.go
@@ -117,6 +117,19 @@
 	}
 }
 
+// once sends one slow request through n, beside the others.
+func (cs *callers) once(n *node, id string) {
+	cs.wg.Go(func() {
+		client := &http.Client{Transport: &http.Transport{}}
+		defer client.CloseIdleConnections()
+		op := operation{id: id, method: http.MethodPost, body: id, path: "/chaos/" + id + "?" + standin.QueryDelay + "=" + slowAnswer.String()}
+		call := cs.send(client, n, op, 0)
+		cs.mu.Lock()
+		defer cs.mu.Unlock()
+		cs.calls = append(cs.calls, call)
+	})
+}
+
 func (cs *callers) send(client *http.Client, n *node, op operation, attempt int) history.Call {
 	call := history.Call{
 		RequestID: fmt.Sprintf("%s-%d", op.id, attempt), Key: op.key, Entry: n.id,
--- a/test/chaos/chaos_test.go
+++ b/test/chaos/chaos_test.go
@@ -3,6 +3,7 @@
 package chaos
 
 import (
+	"fmt"
 	"os"
 	"slices"
 	"strconv"
@@ -24,7 +25,8 @@
 const (
 	batchTasks   = 12
 	replicas     = 9
-	settle       = 500 * time.Millisecond // of load before the fault
+	settle       = time.Second // of load before the fault and after
+	slowCalls    = 6           // in flight at a graceful stop
 	finishWait   = 30 * time.Second
 	leastKeyed   = 5
 	leastAnswers = 50 // of a case, so that its rules are held against something
@@ -33,12 +35,17 @@
 // scene is a case in progress.
 type scene struct {
 	*cluster
+	callers     *callers
+	served      []window // in which every idempotent request must be answered
 	stops       []history.Stop
 	versions    []history.Version
 	mu          sync.Mutex // of acceptances
 	acceptances []history.Acceptance
 }
 
+// window is a stretch of a case.
+type window struct{ from, to time.Duration }
+
 // chaosCase is one fault story.
 type chaosCase struct {
 	name  string
@@ -84,14 +91,14 @@
 	for _, n := range s.nodes {
 		s.until(n.id+" answers", startWait, func() bool { return answers(n) })
 	}
-	callers := startCallers(s.cluster)
+	s.callers = startCallers(s.cluster)
 	s.submit(job.Spec{ID: "valuation", Tenant: tenant, Kind: job.Batch, Family: "valuation", Tasks: batchTasks, Needs: needs, RunTime: seconds(2), Retries: 5})
 	time.Sleep(settle)
 	c.story(s)
 	s.until("the batch ends", finishWait, func() bool { return s.count("valuation", api.TaskFinished) == batchTasks })
 	s.until("the service is whole", finishWait, func() bool { return s.count(service, api.TaskRunning) == replicas })
 	time.Sleep(settle)
-	calls := callers.stop()
+	calls := s.callers.stop()
 	record, err := s.admin.History(s.ctx)
 	if err != nil {
 		t.Fatal(err)
@@ -102,9 +109,47 @@
 	}) {
 		t.Error(v)
 	}
+	s.checkServed(calls)
+	s.checkInFlight(calls)
 	summarize(t, record, calls)
 }
 
+// checkServed holds the calls of the windows to an answer.
+func (s *scene) checkServed(calls []history.Call) {
+	s.t.Helper()
+	for _, w := range s.served {
+		for _, c := range calls {
+			if c.Idempotent && c.Sent > w.from && c.Sent < w.to && c.Code != result.OK {
+				s.t.Errorf("%s through %s was answered %d %s at %v", c.RequestID, c.Entry, c.Code, c.Code, c.Sent)
+			}
+		}
+	}
+}
+
+// checkInFlight fails the test when a stop met nothing in flight, and so proved
+// nothing.
+func (s *scene) checkInFlight(calls []history.Call) {
+	s.t.Helper()
+	for _, stop := range s.stops {
+		n := 0
+		for _, c := range calls {
+			if c.Entry == stop.Instance && c.Sent < stop.At && c.Ended > stop.At {
+				n++
+			}
+		}
+		if n == 0 {
+			s.t.Errorf("nothing was in flight at the stop of %s", stop.Instance)
+		}
+	}
+}
+
+// during runs f in a window in which every idempotent request must be answered.
+func (s *scene) during(f func()) {
+	from := s.now()
+	f()
+	s.served = append(s.served, window{from, s.now()})
+}
+
 func summarize(t *testing.T, record history.Record, calls []history.Call) {
 	t.Helper()
 	codes := map[result.Code]int{}
@@ -132,29 +177,28 @@
 	t.Logf("calls by code %v, %d broken, %d answered with a key; runs %v; %d executions, %d commits", codes, broken, keyed, events, record.Totals.Executions, record.Totals.Commits)
 }
 
+// cases are ordered by their length, longest first.
 var cases = []chaosCase{
-	{"worker-killed", func(s *scene) {
-		for range 2 {
-			s.inject(standin.Fault{Kind: standin.Kill, Target: s.busyWorker("valuation")})
-		}
-	}},
-	{"worker-restarted-twice", func(s *scene) {
-		w := s.busyWorker("valuation")
-		for range 2 {
-			s.inject(standin.Fault{Kind: standin.Restart, Target: w, Delay: job.Duration(200 * time.Millisecond)})
-			time.Sleep(time.Second)
-		}
-	}},
-	{"worker-paused", func(s *scene) {
-		s.inject(standin.Fault{Kind: standin.Pause, Target: s.busyWorker("valuation"), For: seconds(5)})
-		time.Sleep(5 * time.Second)
+	{"bundle-accepted-zone-cut", acceptWhileCut},
+	{"tables-down", func(s *scene) {
+		s.inject(standin.Fault{Kind: standin.Down, Target: "tables", For: seconds(10)})
+		s.during(func() { time.Sleep(10 * time.Second) })
+		s.noneLapsed()
 	}},
-	{"scheduler-killed", func(s *scene) {
+	{"bundles-raced", raceAcceptances},
+	{"scheduler-killed-tables-down", func(s *scene) {
+		s.inject(standin.Fault{Kind: standin.Down, Target: "tables", For: seconds(4)})
 		n := s.owner()
 		n.scheduler.kill()
-		time.Sleep(time.Second)
+		time.Sleep(5 * time.Second)
 		n.scheduler.start(s.t)
 	}},
+	{"zone-cut-from-platform", func(s *scene) {
+		z := zones[s.rand.IntN(len(zones))].name
+		s.inject(standin.Fault{Kind: standin.Cut, From: z, To: standin.PlatformZone, For: seconds(6)})
+		s.during(func() { time.Sleep(6 * time.Second) })
+		s.noneLapsed()
+	}},
 	{"scheduler-paused", func(s *scene) {
 		n := s.owner()
 		n.scheduler.signal(syscall.SIGSTOP)
@@ -162,35 +206,45 @@
 		n.scheduler.signal(syscall.SIGCONT)
 		time.Sleep(time.Second)
 	}},
-	{"schedulers-of-a-zone-killed", func(s *scene) {
-		s.restartSchedulers(s.zoneNodes(zones[s.rand.IntN(len(zones))].name), time.Second)
+	{"upstream-leaving", func(s *scene) {
+		if err := s.admin.Mark(s.ctx, s.busyWorker(service), contract.Leaving); err != nil {
+			s.t.Fatal(err)
+		}
+		time.Sleep(6 * time.Second)
+	}},
+	{"worker-paused", func(s *scene) {
+		s.inject(standin.Fault{Kind: standin.Pause, Target: s.busyWorker("valuation"), For: seconds(5)})
+		time.Sleep(5 * time.Second)
 	}},
 	{"cold-start-tables-down", func(s *scene) {
 		s.inject(standin.Fault{Kind: standin.Down, Target: "tables", For: seconds(3)})
 		s.restartSchedulers(s.nodes, 0)
 		time.Sleep(4 * time.Second)
 	}},
-	{"entry-killed", func(s *scene) {
-		n := s.anyNode()
-		n.entry.kill()
-		time.Sleep(time.Second)
-		n.entry.start(s.t)
+	{"schedulers-of-a-zone-killed", func(s *scene) {
+		s.restartSchedulers(s.zoneNodes(zones[s.rand.IntN(len(zones))].name), time.Second)
 	}},
-	{"entry-stopped", func(s *scene) {
+	{"worker-killed", func(s *scene) {
 		for range 2 {
-			n := s.anyNode()
-			stop := history.Stop{Instance: n.id, At: s.now()}
-			n.entry.signal(syscall.SIGTERM)
-			stop.ExitCode = n.entry.exit()
-			s.stops = append(s.stops, stop)
-			n.entry.start(s.t)
-			s.until("the entry is back", startWait, func() bool { return ready(s.ctx, n.entryURL) })
+			s.inject(standin.Fault{Kind: standin.Kill, Target: s.busyWorker("valuation")})
 		}
 	}},
-	{"tables-down", func(s *scene) {
-		s.inject(standin.Fault{Kind: standin.Down, Target: "tables", For: seconds(10)})
-		time.Sleep(10 * time.Second)
-		s.noneLapsed()
+	{"worker-restarted-twice", func(s *scene) {
+		w := s.busyWorker("valuation")
+		for range 2 {
+			s.inject(standin.Fault{Kind: standin.Restart, Target: w, Delay: job.Duration(200 * time.Millisecond)})
+			time.Sleep(time.Second)
+		}
+	}},
+	{"answers-broken-keys-retried", func(s *scene) {
+		s.inject(standin.Fault{Kind: standin.UpstreamFail, Target: "workers", Count: 20})
+		s.inject(standin.Fault{Kind: standin.UpstreamBreak, Target: "workers", Count: 20})
+		time.Sleep(3 * time.Second)
+	}},
+	{"entry-stopped", func(s *scene) {
+		for range 2 {
+			s.stopEntry(s.anyNode())
+		}
 	}},
 	{"answers-lost", func(s *scene) {
 		for range 5 {
@@ -199,33 +253,33 @@
 			time.Sleep(300 * time.Millisecond)
 		}
 	}},
-	{"zone-cut-from-platform", func(s *scene) {
-		z := zones[s.rand.IntN(len(zones))].name
-		s.inject(standin.Fault{Kind: standin.Cut, From: z, To: standin.PlatformZone, For: seconds(6)})
-		time.Sleep(6 * time.Second)
-		s.noneLapsed()
-	}},
-	{"upstream-leaving", func(s *scene) {
-		w := s.busyWorker(service)
-		if err := s.admin.Mark(s.ctx, w, contract.Leaving); err != nil {
-			s.t.Fatal(err)
-		}
-		time.Sleep(6 * time.Second)
-	}},
-	{"answers-broken-keys-retried", func(s *scene) {
-		s.inject(standin.Fault{Kind: standin.UpstreamFail, Target: "workers", Count: 20})
-		s.inject(standin.Fault{Kind: standin.UpstreamBreak, Target: "workers", Count: 20})
-		time.Sleep(3 * time.Second)
-	}},
-	{"bundle-accepted-zone-cut", acceptWhileCut},
-	{"bundles-raced", raceAcceptances},
-	{"scheduler-killed-tables-down", func(s *scene) {
-		s.inject(standin.Fault{Kind: standin.Down, Target: "tables", For: seconds(4)})
+	{"scheduler-killed", func(s *scene) {
 		n := s.owner()
 		n.scheduler.kill()
-		time.Sleep(5 * time.Second)
+		time.Sleep(time.Second)
 		n.scheduler.start(s.t)
 	}},
+	{"entry-killed", func(s *scene) {
+		n := s.anyNode()
+		n.entry.kill()
+		time.Sleep(time.Second)
+		n.entry.start(s.t)
+	}},
+}
+
+// stopEntry stops the entry gracefully with requests in flight, and starts it
+// again.
+func (s *scene) stopEntry(n *node) {
+	for i := range slowCalls {
+		s.callers.once(n, fmt.Sprintf("stop-%s-%d-%d", n.id, len(s.stops), i))
+	}
+	time.Sleep(slowAnswer / 2)
+	stop := history.Stop{Instance: n.id, At: s.now()}
+	n.entry.signal(syscall.SIGTERM)
+	stop.ExitCode = n.entry.exit()
+	s.stops = append(s.stops, stop)
+	n.entry.start(s.t)
+	s.until("the entry is back", startWait, func() bool { return ready(s.ctx, n.entryURL) })
 }
 
 func (s *scene) anyNode() *node { return s.nodes[s.rand.IntN(len(s.nodes))] }
