Placement: waiting tasks get a decision with their reason in turn

Cause: an owner that reads decisions only saw no reason for tasks of a job that waits as a whole. Change: up to 256 of them a cycle get a Wait, beginning with another job in each cycle; the random test checks that no task is decided on twice. Conclusion: explain has a reason for every waiting task, at a bounded cost.

--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -105,10 +105,17 @@
 	}
 	added := map[string][]resource.Vector{}
 	placed := map[job.TaskID]bool{}
+	decided := map[job.TaskID]bool{}
 	for _, d := range p.Decisions {
 		if d.Reason.Stage == "" || d.Reason.Detail == "" {
 			t.Fatalf("%s of %s has no reason", d.Step, d.Task)
 		}
+		if d.Step == Place || d.Step == Wait || d.Step == SetAside {
+			if decided[d.Task] {
+				t.Fatalf("%s is decided on twice", d.Task)
+			}
+			decided[d.Task] = true
+		}
 		switch d.Step {
 		case Place:
 			if placed[d.Task] {
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -29,6 +29,8 @@
 	id    string
 	tasks []*Pending
 	rank  float64
+	// decided counts the first tasks that have a decision of their own.
+	decided int
 }
 
 // order returns the jobs with tasks that may start now, most important first.
--- a/internal/placement/schedule.go
+++ b/internal/placement/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -11,8 +12,10 @@
 )
 
 const (
-	wantFeasible = 16 // workers that are scored for a batch task
-	maxExamined  = 96 // workers that are looked at for them
+	wantFeasible = 16                     // workers that are scored for a batch task
+	maxExplained = 256                    // waiting tasks that get a decision of their own in a cycle
+	explainStep  = 100 * time.Millisecond // after which explain begins one job further on
+	maxExamined  = 96                     // workers that are looked at for them
 )
 
 // prefilters judge a task before any worker is looked at.
@@ -54,12 +57,51 @@
 
 // schedule places the pending tasks in queue order.
 func (c *cycle) schedule() {
-	for _, g := range c.order() {
+	list := c.order()
+	c.placeAll(list)
+	c.explain(list)
+}
+
+func (c *cycle) placeAll(list []*group) {
+	for _, g := range list {
 		for i, p := range g.tasks {
 			if c.considered == maxConsidered {
 				return
 			}
 			c.place(p, len(g.tasks)-i)
+			if _, blocked := c.blocked[g.id]; !blocked {
+				g.decided = i + 1
+			}
+		}
+	}
+}
+
+// explain repeats the reason of waiting jobs for some of their tasks, beginning
+// with another job in each cycle, so that each task gets its reason in time.
+func (c *cycle) explain(list []*group) {
+	if len(list) == 0 || len(c.plan.Waiting) == 0 {
+		return
+	}
+	why := make(map[string]Reason, len(c.plan.Waiting))
+	for _, w := range c.plan.Waiting {
+		why[w.Job] = w.Reason
+	}
+	left := maxExplained
+	first := int(c.s.Now/explainStep) % len(list)
+	for i := range list {
+		g := list[(first+i)%len(list)]
+		r, ok := why[g.id]
+		if !ok {
+			continue
+		}
+		for _, p := range g.tasks[g.decided:] {
+			if left == 0 {
+				return
+			}
+			if c.plain(p) {
+				left--
+				c.decide(Decision{Step: Wait, Task: p.Task, Reason: r})
+			}
 		}
 	}
 }
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -104,7 +104,8 @@
 	Score  float64 `json:"score,omitempty"`
 }
 
-// Waiting says why tasks of a job that a plan does not name stay pending.
+// Waiting says why the tasks of a job that a plan does not name stay pending.
+// Some of them get a Wait of their own besides, others in each cycle.
 type Waiting struct {
 	Job    string
 	Reason Reason
