Rollouts through members and stand-in measured; bounds of links tested

Cause: the target of 8 s at p99 needs the whole path, and Run hung when its listener failed. Change: TestRollout joins keeper, members and stand-in platform in virtual time; Run ends its readers of the list; tests of bounds and of a withdrawn authority.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -391,6 +391,86 @@
 	})
 }
 
+// TestAuthorityWithdrawn checks that a connection is closed when the authority of
+// its peer is taken out of the file.
+func TestAuthorityWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := captureLog(t)
+		old, fresh := newCA(t), newCA(t)
+		net := &pipes{listeners: map[string]*pipeListener{}}
+		server, client := helloOf("dosanko", "s"), helloOf("dosanko", "a")
+		both := Pair{Cert: append(append([]byte(nil), old.Cert...), fresh.Cert...)}
+		serverPair := newPair(t, fresh, server.Identity, 0, year)
+		serverFiles := writePair(t, both, serverPair)
+		serve(t, Config{Self: server, Keys: loadKeys(t, serverFiles, "dosanko"), Transport: net, Handler: &echo{}})
+		files := writePair(t, both, newPair(t, old, client.Identity, 0, year))
+		e := serve(t, Config{Self: client, Keys: loadKeys(t, files, "dosanko"), Transport: net, Handler: &echo{}})
+		c, err := e.Dial(t.Context(), "s")
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * reloadInterval)
+		select {
+		case <-c.Done():
+			t.Fatal("the connection was closed before the change")
+		default:
+		}
+		storeKeys(t, serverFiles, fresh, serverPair)
+		time.Sleep(2 * reloadInterval)
+		select {
+		case <-c.Done():
+		default:
+			t.Error("the connection outlived its authority")
+		}
+		if !strings.Contains(log.String(), fmt.Sprint(int(result.PeerRefused))) {
+			t.Errorf("the refusal is not logged:\n%s", log)
+		}
+	})
+}
+
+// hold answers no call until it is released.
+type hold struct {
+	echo
+	release chan struct{}
+}
+
+func (h *hold) Called(context.Context, *Conn, string, json.RawMessage) (any, error) {
+	<-h.release
+	return nil, nil
+}
+
+// TestBounds checks the bounds of calls at once and of a message.
+func TestBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := &pipes{listeners: map[string]*pipeListener{}}
+		h := &hold{release: make(chan struct{})}
+		serve(t, Config{Self: helloOf("dosanko", "s"), Transport: net, Handler: h})
+		e := serve(t, Config{Self: helloOf("dosanko", "a"), Transport: net, Handler: &echo{}})
+		c, err := e.Dial(t.Context(), "s")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var held sync.WaitGroup
+		for range maxCalls {
+			held.Go(func() {
+				if err := c.Call(t.Context(), "wait", nil, nil); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		synctest.Wait()
+		if err := c.Call(t.Context(), "wait", nil, nil); result.Of(err) != result.PeerBusy {
+			t.Errorf("one call more = %v, want code %d", err, result.PeerBusy)
+		}
+		close(h.release)
+		held.Wait()
+		large := strings.Repeat("x", MaxMessageBytes+1)
+		if err := c.Call(t.Context(), "wait", large, nil); result.Of(err) != result.PeerAway {
+			t.Errorf("a message over the bound = %v, want code %d", err, result.PeerAway)
+		}
+	})
+}
+
 // TestLoopbackTCP checks the real transport.
 func TestLoopbackTCP(t *testing.T) {
 	l, err := TCP{}.Listen("127.0.0.1:0")
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -149,11 +149,13 @@
 	defer stop()
 	served := make(chan error, 1)
 	go func() { served <- m.endpoint.Serve(serving) }()
+	looking, done := context.WithCancel(ctx)
 	var background sync.WaitGroup
-	background.Go(func() { m.poll(ctx) })
-	background.Go(func() { m.seed(ctx) })
+	background.Go(func() { m.poll(looking) })
+	background.Go(func() { m.seed(looking) })
 	err := m.loop(ctx, serving, served)
 	stop()
+	done()
 	background.Wait()
 	if err == nil {
 		err = <-served
--- a/internal/member/members_test.go
+++ b/internal/member/members_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -472,6 +474,50 @@
 	})
 }
 
+// TestAddressInUse checks that Run ends where its listener fails.
+func TestAddressInUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := &fakeList{}
+		m, err := New(Config{
+			Deployment: "dosanko", Instance: "a", Program: Entry, Zone: "z", Address: "a",
+			Instances: list, Seeds: []string{"b"}, Transport: deafHost{host{newNet(0), "a"}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := m.Run(t.Context()); result.Of(err) != result.SettingsAddress {
+			t.Errorf("Run() = %v", err)
+		}
+	})
+}
+
+// deafHost is a host whose address is in use.
+type deafHost struct{ host }
+
+func (deafHost) Listen(string) (net.Listener, error) { return nil, syscall.EADDRINUSE }
+
+// BenchmarkStep measures one look at every peer; a process takes four in a
+// heartbeat.
+func BenchmarkStep(b *testing.B) {
+	for _, n := range []int{41, 97, 700} {
+		b.Run(fmt.Sprintf("%d peers", n), func(b *testing.B) {
+			m, err := New(Config{Deployment: "d", Instance: "self", Program: Entry, Zone: "z0", Address: "self"})
+			if err != nil {
+				b.Fatal(err)
+			}
+			for i := range n {
+				id := fmt.Sprintf("i%d", i)
+				p := m.know(IDOf(id, Entry), id, Entry, fmt.Sprintf("z%d", i%7), id)
+				p.dialing = true // no connection is opened
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				m.step(b.Context(), false)
+			}
+		})
+	}
+}
+
 func TestNewConfig(t *testing.T) {
 	s := settings.Common{Deployment: "dosanko", Instance: "i1", Zone: "ishikari", PeerListen: "127.0.0.1:7000"}
 	cfg, err := NewConfig(&s, Entry, nil, nil)
--- /dev/null
+++ b/internal/member/rollout_test.go
@@ -0,0 +1,214 @@
+package member_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"skylarkport/internal/bundle"
+	"skylarkport/internal/job"
+	"skylarkport/internal/member"
+	"skylarkport/internal/platform"
+	"skylarkport/internal/settings"
+	"skylarkport/internal/standin"
+)
+
+// Targets of a rollout.
+const (
+	rolloutTarget = 2 * time.Second // median
+	rolloutBound  = 8 * time.Second // 99th percentile
+	rollouts      = 20
+)
+
+// deployment is every process of several zones with its keeper, on the stand-in
+// platform and an in-memory network.
+type deployment struct {
+	t         *testing.T
+	net       member.TestNet
+	system    *standin.System
+	processes []*process
+}
+
+type process struct {
+	id, zone  string
+	keeper    *bundle.Keeper
+	lifecycle *bundle.Lifecycle
+}
+
+func newDeployment(t *testing.T, zones, perZone int) *deployment {
+	d := &deployment{t: t, net: member.NewTestNet(1500 * time.Microsecond)}
+	cfg := settings.Standin{Listen: "127.0.0.1:1", WritesPerSec: 400, ReadsPerSec: 2000, ListLag: job.Duration(2 * time.Second)}
+	for z := range zones {
+		zone := zoneName(z)
+		cfg.Zones = append(cfg.Zones, settings.StandinZone{Name: zone})
+		for i := range perZone {
+			id := fmt.Sprintf("%s-%d", zone, i)
+			cfg.Entries = append(cfg.Entries, settings.StandinEntry{
+				ID: id, Zone: zone, EntryPeer: member.IDOf(id, member.Entry), SchedulerPeer: member.IDOf(id, member.Scheduler),
+			})
+		}
+	}
+	d.system = standin.New(cfg)
+	for _, e := range cfg.Entries {
+		for _, program := range []member.Program{member.Entry, member.Scheduler} {
+			d.start(e, program)
+		}
+	}
+	time.Sleep(15 * time.Second)
+	return d
+}
+
+func zoneName(z int) string { return fmt.Sprintf("z%d", z) }
+
+func (d *deployment) start(e settings.StandinEntry, program member.Program) {
+	d.t.Helper()
+	id := member.IDOf(e.ID, program)
+	from := platform.From{Zone: e.Zone, Instance: e.ID}
+	members, err := member.New(member.Config{
+		Deployment: "dosanko", Instance: e.ID, Program: program, Zone: e.Zone, Address: id,
+		Instances: d.system.Instances(from), Transport: d.net.Host(id),
+	})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	first := &bundle.Bundle{Author: "ops"}
+	keeper := bundle.NewKeeper(bundle.KeeperConfig{
+		Tables: d.system.Tables(from), Objects: d.system.Objects(from), Group: members, Initial: first,
+	})
+	p := &process{
+		id: id, zone: e.Zone, keeper: keeper,
+		lifecycle: bundle.NewLifecycle(d.system.Tables(from), d.system.Objects(from), first, keeper, nil),
+	}
+	d.processes = append(d.processes, p)
+	ctx, cancel := context.WithCancel(d.t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = members.Run(ctx) })
+	wg.Go(func() { _ = keeper.Run(ctx) })
+	d.t.Cleanup(func() { cancel(); wg.Wait() })
+}
+
+// addresses returns the processes of zones.
+func (d *deployment) addresses(zones ...string) []string {
+	var out []string
+	for _, p := range d.processes {
+		if slices.Contains(zones, p.zone) {
+			out = append(out, p.id)
+		}
+	}
+	return out
+}
+
+// roll accepts a bundle through the first process and returns how long each
+// process took to put it in force.
+func (d *deployment) roll(version uint64, accepted func()) []time.Duration {
+	d.t.Helper()
+	b := &bundle.Bundle{Version: version, Base: version - 1, Author: "ops", Note: fmt.Sprint("change ", version)}
+	body, err := bundle.Encode(b)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	life := d.processes[0].lifecycle
+	proposal, err := life.Propose(d.t.Context(), body, "ops")
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	if _, err := life.Accept(d.t.Context(), proposal.Hash); err != nil {
+		d.t.Fatal(err)
+	}
+	began := time.Now()
+	accepted()
+	took := make([]time.Duration, len(d.processes))
+	var wg sync.WaitGroup
+	for i, p := range d.processes {
+		wg.Go(func() {
+			for p.keeper.Current() == nil || p.keeper.Head().Version < version {
+				select {
+				case <-p.keeper.Changed():
+				case <-time.After(time.Second):
+				}
+				if time.Since(began) > time.Minute {
+					d.t.Errorf("%s has version %d, want %d", p.id, p.keeper.Head().Version, version)
+					break
+				}
+			}
+			took[i] = time.Since(began)
+		})
+	}
+	wg.Wait()
+	return took
+}
+
+// TestRollout checks how fast bundles come into force through the table and
+// through peers, in virtual time, without TLS.
+func TestRollout(t *testing.T) {
+	inject := func(t *testing.T, d *deployment, f standin.Fault) {
+		t.Helper()
+		if err := d.system.Inject(f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	tests := []struct {
+		name     string
+		before   func(t *testing.T, d *deployment)
+		accepted func(t *testing.T, d *deployment) // right after each acceptance
+		after    func(d *deployment)               // before the next one
+	}{
+		{name: "healthy"},
+		{name: "a zone cut from the platform", before: func(t *testing.T, d *deployment) {
+			inject(t, d, standin.Fault{Kind: standin.Cut, From: "z2", To: standin.PlatformZone})
+		}},
+		{name: "a zone cut from the platform and from one zone", before: func(t *testing.T, d *deployment) {
+			inject(t, d, standin.Fault{Kind: standin.Cut, From: "z2", To: standin.PlatformZone})
+			d.net.Cut(true, d.addresses("z0"), d.addresses("z2"))
+		}},
+		{name: "a zone cut from all peers", before: func(_ *testing.T, d *deployment) {
+			d.net.Cut(true, d.addresses("z0", "z1"), d.addresses("z2"))
+		}},
+		{name: "the platform goes away after the acceptance", accepted: func(t *testing.T, d *deployment) {
+			inject(t, d, standin.Fault{Kind: standin.Down, Target: "tables"})
+			inject(t, d, standin.Fault{Kind: standin.Down, Target: "objects"})
+		}, after: func(d *deployment) {
+			d.system.Clear()
+			time.Sleep(10 * time.Second)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDeployment(t, 3, 3)
+				if tt.before != nil {
+					tt.before(t, d)
+					time.Sleep(20 * time.Second)
+				}
+				var all []time.Duration
+				for v := range uint64(rollouts) {
+					all = append(all, d.roll(v+1, func() {
+						if tt.accepted != nil {
+							tt.accepted(t, d)
+						}
+					})...)
+					if tt.after != nil {
+						tt.after(d)
+					}
+					time.Sleep(time.Duration(v) * 137 * time.Millisecond)
+				}
+				report(t, all)
+			})
+		})
+	}
+}
+
+// report logs the percentiles and fails where a target is missed.
+func report(t *testing.T, took []time.Duration) {
+	t.Helper()
+	slices.Sort(took)
+	at := func(q float64) time.Duration { return took[int(q*float64(len(took)-1))] }
+	t.Logf("%d samples: p50 %v, p99 %v, highest %v", len(took), at(0.5), at(0.99), at(1))
+	if at(0.5) > rolloutTarget || at(0.99) > rolloutBound {
+		t.Errorf("p50 %v, p99 %v, want at most %v and %v", at(0.5), at(0.99), rolloutTarget, rolloutBound)
+	}
+}
