A change that meets a fresh heartbeat is sent a quarter of an interval later

Cause: a rollout took 3.7 s in one run of TestRollout: a changed value was pushed only to peers whose last heartbeat was old enough, and waited for the next regular one (4 s between zones) for the others. Conclusion: TestAttached fails without the change.

--- a/internal/member/events.go
+++ b/internal/member/events.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 
+	"github.com/cespare/xxhash/v2"
+
 	"skylarkport/internal/link"
 	"skylarkport/internal/result"
 )
@@ -26,6 +28,7 @@
 	now := m.now()
 	p := m.know(id, hello.Instance, Program(hello.Program), hello.Zone, hello.Address)
 	p.Zone, p.Address = hello.Zone, hello.Address
+	m.dirty = true
 	if p.Incarnation != hello.Incarnation {
 		p.restart(hello.Incarnation, now)
 		closeAll(p.conns)
@@ -57,6 +60,8 @@
 		roster: map[string]rosterEntry{},
 	}
 	p.since = m.now()
+	p.rank = xxhash.Sum64String(m.self.ID + "\x00" + id)
+	m.dirty = true
 	m.peers[id] = p
 	return p
 }
@@ -155,6 +160,7 @@
 	if len(p.conns) == 0 && p.Incarnation != r.Incarnation && from.Zone != m.self.Zone {
 		p.Address = r.Address
 		p.restart(r.Incarnation, m.now())
+		m.dirty = true
 	}
 }
 
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -76,6 +76,7 @@
 	p.listedLeaving = i.State == contract.Leaving
 	if len(p.conns) == 0 && p.Address != address {
 		p.Address = address
+		m.dirty = true
 		p.dialAt, p.failures, p.refusals = 0, 0, 0
 	}
 }
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -34,6 +34,7 @@
 	peers    map[string]*peer
 	attached map[string]string // newest values as JSON
 	pushed   bool              // a value or the roster changed and is to be sent at once
+	dirty    bool              // a peer changed since the view was published
 }
 
 // published is a view and the channel that tells of the next one.
--- a/internal/member/peer.go
+++ b/internal/member/peer.go
@@ -15,7 +15,8 @@
 
 	listed        bool // in the platform's list
 	listedLeaving bool
-	target        bool // a peer of another zone that this process beats
+	target        bool   // a peer of another zone that this process beats
+	rank          uint64 // by rendezvous hashing with this process
 	askedUntil    time.Duration
 
 	conns    []*link.Conn // newest last
@@ -24,6 +25,7 @@
 	failures int // of dialing, in a row
 	dialAt   time.Duration
 	beating  bool
+	owed     bool // a change that was not sent yet
 	beatAt   time.Duration
 	beaten   time.Duration
 	usedAt   time.Duration // last opened or called by this process
--- a/internal/member/refresh.go
+++ b/internal/member/refresh.go
@@ -20,6 +20,7 @@
 		}
 		if p.State == Dead && !p.listed && now-p.diedAt > forgetAfter && len(p.conns) == 0 {
 			delete(m.peers, id)
+			m.dirty = true
 		}
 	}
 	m.publish()
@@ -49,6 +50,7 @@
 		logger.WithField("peer", p.ID).WithField("zone", p.Zone).Infof("peer is %s", s)
 	}
 	p.State = s
+	m.dirty = true
 	if p.Zone == m.self.Zone {
 		m.pushed = true
 	}
@@ -107,6 +109,10 @@
 
 // publish replaces the view where it differs.
 func (m *Members) publish() {
+	if !m.dirty {
+		return
+	}
+	m.dirty = false
 	old := m.current.Load()
 	peers := make([]Peer, 0, len(m.peers))
 	for _, p := range m.peers {
--- a/internal/member/step.go
+++ b/internal/member/step.go
@@ -61,7 +61,8 @@
 	}
 	m.closeStale(p, now, wanted)
 	c := p.conn()
-	if push && now-p.beaten >= m.interval(p)/ticksPerBeat || m.parting() != p.sent[c].parting {
+	p.owed = p.owed || push
+	if p.owed && now-p.beaten >= m.interval(p)/ticksPerBeat || m.parting() != p.sent[c].parting {
 		p.beatAt = now
 	}
 	if now >= p.beatAt && !p.beating && (wanted || now < p.askedUntil || m.leaving.Load()) {
@@ -98,7 +99,7 @@
 	if p.target {
 		method = askMethod
 	}
-	p.beating = true
+	p.beating, p.owed = true, false
 	p.beaten = now
 	p.beatAt = now + m.interval(p)
 	m.meters.beats.Inc(1)
--- a/internal/member/zone.go
+++ b/internal/member/zone.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // targetsPerZone is how many processes of each other zone a process beats.
@@ -28,11 +26,10 @@
 func (m *Members) chooseInZone(peers []*peer, now time.Duration) {
 	turn := uint64(now / (maxBackoff * 2))
 	score := func(p *peer) uint64 {
-		s := xxhash.Sum64String(m.self.ID + "\x00" + p.ID)
 		if p.State == Dead || p.State == Leaving {
-			return (s + turn*(1<<61)) >> 1
+			return (p.rank + turn*(1<<61)) >> 1
 		}
-		return s>>1 | 1<<63
+		return p.rank>>1 | 1<<63
 	}
 	slices.SortFunc(peers, func(a, b *peer) int {
 		if score(a) > score(b) {
