Interference: services without a target are held to the slowdown threshold

Cause: a service whose job names no target was not protected, and slowdown_threshold was not used. Change: its limit is the threshold times its learned quiet latency. Conclusion: table cases on both sides of the threshold.

--- a/internal/interference/model.go
+++ b/internal/interference/model.go
@@ -104,6 +104,17 @@
 	s.learn(c, band, got, beside, now)
 }
 
+// Quiet returns the learned 99th percentile of a service without neighbours in
+// the band of load, and false where the band was not observed.
+func (m *Model) Quiet(name string, load float64) (time.Duration, bool) {
+	s := m.services[name]
+	if s == nil || s.bands[Band(load)] == nil {
+		return 0, false
+	}
+	level := s.bands[Band(load)].Level.Mean
+	return time.Duration(math.Exp(level) * float64(time.Second)), true
+}
+
 // learn is one step of the filter.
 func (s *service) learn(c *Curve, band int, got float64, beside []Neighbour, now time.Duration) {
 	c.Level = c.Level.aged(now)
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -167,7 +167,7 @@
 		return
 	}
 	p99 := u.Usage.P99.D()
-	if target := u.Spec.Target.D(); target > 0 {
+	if target := e.target(u.Spec, v.Load); target > 0 {
 		v.Ratios = append(slices.Clone(v.Ratios), float64(p99)/float64(target))
 		v.Ratios = v.Ratios[max(0, len(v.Ratios)-ratiosKept):]
 	}
@@ -177,6 +177,19 @@
 	e.interference.Observe(Family(u.Spec), v.Load, p99, e.neighbours(r, u.Run), r.Now)
 }
 
+// target returns the latency that a service has to keep: its target, or, where it
+// names none, SlowdownThreshold times its quiet latency. Zero means unknown.
+func (e *Engine) target(s *job.Spec, load float64) time.Duration {
+	if s.Target > 0 {
+		return s.Target.D()
+	}
+	quiet, ok := e.interference.Quiet(Family(s), load)
+	if !ok {
+		return 0
+	}
+	return time.Duration(float64(quiet) * e.cfg.SlowdownThreshold)
+}
+
 // neighbours returns the batch work beside the run, by family.
 func (e *Engine) neighbours(r *Report, self job.RunID) []interference.Neighbour {
 	var out []interference.Neighbour
--- a/internal/placement/exposure.go
+++ b/internal/placement/exposure.go
@@ -37,7 +37,7 @@
 	}
 	n.prepared = true
 	for i, r := range n.w.Runs {
-		if r.Spec.Kind == job.Service && !r.Stopping && r.Spec.Target > 0 {
+		if r.Spec.Kind == job.Service && !r.Stopping {
 			n.services = append(n.services, c.exposure(n, i))
 		}
 	}
@@ -56,9 +56,15 @@
 		return x
 	}
 	x.known = true
-	target := math.Log(r.Spec.Target.D().Seconds())
+	target := level + math.Log(c.v.Config.SlowdownThreshold)
+	if r.Spec.Target > 0 {
+		target = math.Log(r.Spec.Target.D().Seconds())
+	}
 	above, _ := x.curves.QuietAt(x.above)
 	x.now, x.next = level-target, above-target
+	if r.Spec.Target <= 0 {
+		x.next = x.now // the threshold rises with the quiet latency
+	}
 	for k, o := range n.w.Runs {
 		if o.Spec.Kind == job.Batch {
 			x.add(c.profile(o.Spec).family, c.runIntensity(n, k))
--- a/internal/placement/stage_test.go
+++ b/internal/placement/stage_test.go
@@ -214,6 +214,34 @@
 	return w
 }
 
+// withoutTarget takes the service's target away, sets the threshold and reports
+// the latency anew.
+func withoutTarget(threshold float64) func(*world) {
+	return func(w *world) {
+		w.e.Configure(bundle.Placement{TailWeight: 6, ThroughputWeight: 2, EvictionWeight: 1, SlowdownThreshold: threshold})
+		dropTarget(w)
+	}
+}
+
+func dropTarget(w *world) {
+	worker := w.s.Workers[0]
+	service := *worker.Runs[0].Spec
+	service.Target = 0
+	worker.Runs[0].Spec = &service
+	old := w.e.Freeze().Workers["w1"]
+	for i := range 5 {
+		rep := Report{Worker: "w1", Now: w.s.Now}
+		for k, r := range worker.Runs {
+			v := &old.Runs[k]
+			rep.Runs = append(rep.Runs, RunUsage{
+				Run: r.ID, Spec: r.Spec, Commit: r.Commit, At: w.s.Now - time.Duration(20-i)*time.Second,
+				Usage: contract.Usage{Used: v.Used, Load: 0.7, P99: job.Duration(110 * time.Millisecond)},
+			})
+		}
+		w.e.Observe(rep)
+	}
+}
+
 func TestRespond(t *testing.T) {
 	long := 10 * time.Minute
 	tests := []struct {
@@ -225,6 +253,8 @@
 	}{
 		{name: "calm", ratio: 0.6, want: ""},
 		{name: "over target", ratio: 1.2, want: "throttle n/0 on w1 with 1600/1000/0: Interference\n"},
+		{name: "no target, within the threshold", ratio: 1.1, edit: withoutTarget(4), want: ""},
+		{name: "no target, over the threshold", ratio: 1.1, edit: withoutTarget(2.2), want: "throttle n/0 on w1 with 1600/1000/0: Interference\n"},
 		{name: "severe", ratio: 1.8, want: "move n/0 on w1: Interference\n"},
 		{name: "reports older than the last change", ratio: 1.8, changed: time.Hour - 20*time.Second, want: ""},
 		{name: "in cooldown", ratio: 1.2, edit: func(w *world) {
