--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,7 @@
 	Objects   contract.Objects
 	Instances contract.Instances
 	Metrics   *obs.Metrics
+	Listener  net.Listener   // for callers; nil to listen on the settings' address
 	Dial      forward.Dialer // nil for TCP
 	Leaving   func()         // called when the drain begins; nil for none
 }
@@ -124,3 +126,6 @@
 		}
 	}
 }
+
+// Snapshot returns the routing snapshot in force.
+func (e *Entry) Snapshot() *route.Snapshot { return e.table.Current() }
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -65,7 +65,7 @@
 	s := e.server()
 	drained := make(chan struct{})
 	g.Add(func() error {
-		l, err := net.Listen("tcp", e.cfg.Listen)
+		l, err := e.listen()
 		if err != nil {
 			close(drained)
 			return result.Wrap(result.SettingsAddress, err, "listen")
@@ -83,6 +83,13 @@
 	})
 }
 
+func (e *Entry) listen() (net.Listener, error) {
+	if e.deps.Listener != nil {
+		return e.deps.Listener, nil
+	}
+	return net.Listen("tcp", e.cfg.Listen)
+}
+
 // drain ends the server within the time that the settings give.
 func (e *Entry) drain(s *http.Server) {
 	e.draining.Store(true)
