--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,8 @@
 # target is missed.
 bench-policy:
 	$(GO) run ./cmd/skylark-bench-policy -json $(BIN)/bench-policy.json
+
+# bench-entry measures the request path of one entry and fails where a bound is
+# missed.
+bench-entry:
+	$(GO) run ./cmd/skylark-bench-entry
