Race tests of the shard: a lock in the fake group, a process per test

Change: the fake's maps are guarded; the package's race tests run one process per test, none is left out.

--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,15 @@
 test:
 	$(GO) test ./...
 
+# One process per test where a package holds very many virtual clocks: the race
+# detector's own bookkeeping gives up in one long process.
+RACE_ALONE := ./internal/shard
+
 test-race:
-	$(GO) test -race ./...
+	$(GO) test -race $$($(GO) list ./... | grep -v '/internal/shard$$')
+	@for t in $$($(GO) test -list . $(RACE_ALONE) | grep '^Test'); do \
+		$(GO) test -race -run "^$$t\$$" $(RACE_ALONE) || exit 1; \
+	done
 
 fmt:
 	$(GO) tool gofumpt -w cmd internal test
--- a/internal/shard/group_test.go
+++ b/internal/shard/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 
 	"skylarkport/internal/member"
@@ -78,10 +79,10 @@
 	}
 	n.mu.Unlock()
 	for _, from := range groups {
-		for key, f := range from.attached {
+		for key, f := range from.attachments() {
 			b, _ := json.Marshal(f())
 			for _, to := range groups {
-				if h := to.heard[key]; h != nil && to != from {
+				if h := to.listener(key); h != nil && to != from {
 					h(from.Self(), b)
 				}
 			}
@@ -89,6 +90,24 @@
 	}
 }
 
+func (g *fakeGroup) attachments() map[string]func() any {
+	g.net.mu.Lock()
+	defer g.net.mu.Unlock()
+	return maps.Clone(g.attached)
+}
+
+func (g *fakeGroup) listener(key string) func(member.Peer, json.RawMessage) {
+	g.net.mu.Lock()
+	defer g.net.mu.Unlock()
+	return g.heard[key]
+}
+
+func (g *fakeGroup) handler(method string) member.Handler {
+	g.net.mu.Lock()
+	defer g.net.mu.Unlock()
+	return g.handlers[method]
+}
+
 func (g *fakeGroup) Self() member.Peer {
 	g.net.mu.Lock()
 	defer g.net.mu.Unlock()
@@ -107,21 +126,33 @@
 	return g.changed
 }
 
-func (g *fakeGroup) Handle(method string, h member.Handler) { g.handlers[method] = h }
+func (g *fakeGroup) Handle(method string, h member.Handler) {
+	g.net.mu.Lock()
+	defer g.net.mu.Unlock()
+	g.handlers[method] = h
+}
 
-func (g *fakeGroup) Attach(key string, f func() any) { g.attached[key] = f }
+func (g *fakeGroup) Attach(key string, f func() any) {
+	g.net.mu.Lock()
+	defer g.net.mu.Unlock()
+	g.attached[key] = f
+}
 
-func (g *fakeGroup) OnAttached(key string, f func(member.Peer, json.RawMessage)) { g.heard[key] = f }
+func (g *fakeGroup) OnAttached(key string, f func(member.Peer, json.RawMessage)) {
+	g.net.mu.Lock()
+	defer g.net.mu.Unlock()
+	g.heard[key] = f
+}
 
 func (g *fakeGroup) Call(ctx context.Context, peerID, method string, params, reply any) error {
 	g.net.mu.Lock()
 	to := g.net.groups[peerID]
 	g.net.mu.Unlock()
-	if to == nil || to.handlers[method] == nil {
+	if to == nil || to.handler(method) == nil {
 		return result.Errorf(result.PeerAway, "%s", peerID)
 	}
 	b, _ := json.Marshal(params)
-	v, err := to.handlers[method](ctx, g.Self(), b)
+	v, err := to.handler(method)(ctx, g.Self(), b)
 	if err != nil || reply == nil {
 		return err
 	}
