--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build test test-race lint fmt demo bench-policy bench-entry measure chaos
+.PHONY: chaos-short build test test-race lint fmt demo bench-policy bench-entry measure chaos
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -36,7 +36,7 @@
 CASE ?=
 SEED ?= 1
 chaos: build
-	CHAOS_SEED=$(SEED) $(GO) test -tags chaos -count=1 -parallel 5 -timeout 55s -run '^TestChaos$$$(if $(CASE),/^$(CASE)$$)' ./test/chaos
+	CHAOS_SEED=$(SEED) $(GO) test -tags chaos -count=1 -parallel 6 -timeout 55s -run '^TestChaos$$$(if $(CASE),/^$(CASE)$$)' ./test/chaos
 
 # bench-policy measures the placement policy in virtual time and fails where a
 # target is missed.
@@ -47,3 +47,6 @@
 # missed.
 bench-entry:
 	$(GO) run ./cmd/skylark-bench-entry
+
+chaos-short:
+	$(MAKE) chaos CASE='(worker-killed|entry-stopped|answers-broken-keys-retried)'
--- a/test/chaos/chaos_test.go
+++ b/test/chaos/chaos_test.go
@@ -26,7 +26,8 @@
 	batchTasks   = 12
 	replicas     = 9
 	settle       = time.Second // of load before the fault and after
-	slowCalls    = 6           // in flight at a graceful stop
+	pauseTime    = 5 * time.Second
+	slowCalls    = 6 // in flight at a graceful stop
 	finishWait   = 30 * time.Second
 	leastKeyed   = 5
 	leastAnswers = 50 // of a case, so that its rules are held against something
@@ -199,12 +200,26 @@
 		s.during(func() { time.Sleep(6 * time.Second) })
 		s.noneLapsed()
 	}},
-	{"scheduler-paused", func(s *scene) {
-		n := s.owner()
-		n.scheduler.signal(syscall.SIGSTOP)
-		time.Sleep(5 * time.Second)
-		n.scheduler.signal(syscall.SIGCONT)
-		time.Sleep(time.Second)
+	{"zone-paused", func(s *scene) {
+		var procs []*proc
+		for _, n := range s.zoneNodes(zones[s.rand.IntN(len(zones))].name) {
+			procs = append(procs, n.entry, n.scheduler)
+		}
+		pause(procs...)
+	}},
+	{"scheduler-paused", func(s *scene) { pause(s.owner().scheduler) }},
+	{"entry-paused", func(s *scene) { pause(s.anyNode().entry) }},
+	{"writes-late", func(s *scene) {
+		for range 4 {
+			s.inject(standin.Fault{Kind: standin.Late, Target: "tables", Delay: job.Duration(1500 * time.Millisecond), Count: 4})
+			time.Sleep(time.Second)
+		}
+	}},
+	{"exchanges-late", func(s *scene) {
+		for range 4 {
+			s.inject(standin.Fault{Kind: standin.Late, Target: "workers", Delay: job.Duration(1500 * time.Millisecond), Count: 4})
+			time.Sleep(time.Second)
+		}
 	}},
 	{"upstream-leaving", func(s *scene) {
 		if err := s.admin.Mark(s.ctx, s.busyWorker(service), contract.Leaving); err != nil {
@@ -259,6 +274,15 @@
 		time.Sleep(time.Second)
 		n.scheduler.start(s.t)
 	}},
+	{"scheduler-stopped", func(s *scene) {
+		n := s.owner()
+		n.scheduler.signal(syscall.SIGTERM)
+		if code := n.scheduler.exit(); code != 0 {
+			s.t.Errorf("the scheduler of %s exited with %d", n.id, code)
+		}
+		n.scheduler.start(s.t)
+		s.noneLapsed()
+	}},
 	{"entry-killed", func(s *scene) {
 		n := s.anyNode()
 		n.entry.kill()
@@ -267,6 +291,18 @@
 	}},
 }
 
+// pause stops the processes for pauseTime, which is longer than their leases.
+func pause(procs ...*proc) {
+	for _, p := range procs {
+		p.signal(syscall.SIGSTOP)
+	}
+	time.Sleep(pauseTime)
+	for _, p := range procs {
+		p.signal(syscall.SIGCONT)
+	}
+	time.Sleep(settle)
+}
+
 // stopEntry stops the entry gracefully with requests in flight, and starts it
 // again.
 func (s *scene) stopEntry(n *node) {
