A zone's processes share the reading of the current row; pages checked by tests

Cause: every process read the row each second, about 1 KB/s of an instance's 6. Change: the pause grows with the alive processes of the zone, from 1 s to 6 s; tests fail where docs/CONFIG.md lacks a field; long test files are split.

--- /dev/null
+++ b/internal/bundle/docs_test.go
@@ -0,0 +1,31 @@
+package bundle
+
+import (
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// TestPage fails where docs/CONFIG.md does not name a field of the bundle.
+func TestPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/CONFIG.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, section, ok := strings.Cut(string(page), "\n## Bundle\n")
+	if !ok {
+		t.Fatal("no section of the bundle")
+	}
+	for _, typ := range []reflect.Type{
+		reflect.TypeFor[Bundle](), reflect.TypeFor[Tenant](), reflect.TypeFor[Service](),
+		reflect.TypeFor[Route](), reflect.TypeFor[Placement](), reflect.TypeFor[Key](),
+	} {
+		for i := range typ.NumField() {
+			name, _, _ := strings.Cut(typ.Field(i).Tag.Get("json"), ",")
+			if !strings.Contains(section, "`"+name) && !strings.Contains(section, "[]."+name+"`") && !strings.Contains(section, "`"+name+"[]") {
+				t.Errorf("docs/CONFIG.md does not name %s of %s", name, typ.Name())
+			}
+		}
+	}
+}
--- a/internal/bundle/fakes_test.go
+++ b/internal/bundle/fakes_test.go
@@ -62,6 +62,12 @@
 	p.fault, p.once, p.skip = f, true, skip
 }
 
+func (p *platform) readCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reads
+}
+
 // pending reports whether the fault was not met yet.
 func (p *platform) pending() bool {
 	p.mu.Lock()
--- a/internal/bundle/keeper.go
+++ b/internal/bundle/keeper.go
@@ -20,7 +20,9 @@
 
 // Times of the keeper.
 const (
-	pollInterval = time.Second     // between readings of the current row
+	pollInterval = time.Second     // between readings of the current row, alone
+	pollShare    = time.Second / 2 // between readings of a zone's processes, together
+	pollLimit    = 6 * time.Second // between readings of one process among many
 	pollTimeout  = 2 * time.Second // of one reading
 	maxPollPause = 5 * time.Second // between readings while the table is away
 	fetchTimeout = 3 * time.Second // of one fetch of a body
@@ -127,14 +129,14 @@
 
 // followTable reads the current row in intervals.
 func (k *Keeper) followTable(ctx context.Context) {
-	pause := pollInterval
+	pause := k.pollPause()
 	away := false
 	for ctx.Err() == nil {
 		err := k.poll(ctx)
 		if err == nil {
-			pause = pollInterval
+			pause = k.pollPause()
 		} else {
-			pause = min(2*pause, maxPollPause)
+			pause = max(pollInterval, min(2*pause, maxPollPause))
 		}
 		if (err != nil) != away && ctx.Err() == nil {
 			away = err != nil
@@ -147,6 +149,21 @@
 	}
 }
 
+// pollPause is the time between two readings. The processes of a zone tell each
+// other what they read, so the more of them are alive the less each has to read.
+func (k *Keeper) pollPause() time.Duration {
+	if k.cfg.Group == nil {
+		return pollInterval
+	}
+	alive := 0
+	for _, p := range k.cfg.Group.View().Peers {
+		if p.Zone == k.cfg.Group.Self().Zone && p.State == member.Alive {
+			alive++
+		}
+	}
+	return min(max(time.Duration(alive)*pollShare, pollInterval), pollLimit)
+}
+
 // followPeers takes what peers offer, at once and again in intervals.
 func (k *Keeper) followPeers(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/bundle/keeper_test.go
+++ b/internal/bundle/keeper_test.go
@@ -281,3 +281,53 @@
 		w.wantEverywhere("through peers", 2)
 	})
 }
+
+// TestPollRate checks that the processes of a zone read the current row together
+// about as often as pollShare says, and one alone every pollInterval.
+func TestPollRate(t *testing.T) {
+	const seconds = 60
+	tests := []struct {
+		instances int
+		most      int // readings in all
+		least     int
+	}{
+		{1, seconds * 4 / 3, seconds * 4 / 5},
+		{12, seconds * 2 * 3 / 2, seconds},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.instances), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				for i := range tt.instances {
+					w.start(fmt.Sprint("i", i), initial())
+				}
+				time.Sleep(10 * time.Second)
+				before := w.platform.readCount()
+				time.Sleep(seconds * time.Second)
+				if n := w.platform.readCount() - before; n > tt.most || n < tt.least {
+					t.Errorf("%d readings in %d s, want %d to %d", n, seconds, tt.least, tt.most)
+				}
+			})
+		})
+	}
+}
+
+// TestAcceptedElsewhere checks that a bundle is in force on all instances where
+// the accepting one died with the commit.
+func TestAcceptedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		for i := range 12 {
+			w.start(fmt.Sprint("i", i), initial())
+		}
+		time.Sleep(3 * time.Second)
+		dead := &node{life: NewLifecycle(w.platform, objectStore{w.platform}, initial(), nil, nil)}
+		b := initial()
+		for i := range uint64(10) {
+			b = next(b, "ops", fmt.Sprint(i))
+			w.accept(dead, b)
+			time.Sleep(inForceTarget)
+			w.wantEverywhere("after the target", i+1)
+		}
+	})
+}
--- /dev/null
+++ b/internal/link/helpers_test.go
@@ -0,0 +1,194 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"skylarkport/internal/obs"
+	"skylarkport/internal/result"
+	"skylarkport/internal/settings"
+)
+
+// pipes is a Transport of in-memory pipes.
+type pipes struct {
+	mu        sync.Mutex
+	listeners map[string]*pipeListener
+}
+
+type pipeListener struct {
+	net.Listener
+	accept chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (p *pipes) Listen(address string) (net.Listener, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := &pipeListener{accept: make(chan net.Conn), closed: make(chan struct{})}
+	p.listeners[address] = l
+	return l, nil
+}
+
+func (p *pipes) Dial(ctx context.Context, address string) (net.Conn, error) {
+	p.mu.Lock()
+	l := p.listeners[address]
+	p.mu.Unlock()
+	if l == nil {
+		return nil, syscall.ECONNREFUSED
+	}
+	a, b := net.Pipe()
+	select {
+	case l.accept <- b:
+		return a, nil
+	case <-l.closed:
+		return nil, syscall.ECONNREFUSED
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accept:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// echo answers "echo" with its parameters and "fail" with a coded error.
+type echo struct {
+	mu       sync.Mutex
+	notified []string
+	opened   int
+	closed   int
+}
+
+func (h *echo) Opened(*Conn) { h.mu.Lock(); defer h.mu.Unlock(); h.opened++ }
+func (h *echo) Closed(*Conn) { h.mu.Lock(); defer h.mu.Unlock(); h.closed++ }
+
+func (h *echo) Notified(_ *Conn, method string, params json.RawMessage) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.notified = append(h.notified, method+string(params))
+}
+
+func (h *echo) Called(_ context.Context, _ *Conn, method string, params json.RawMessage) (any, error) {
+	if method == "echo" {
+		return params, nil
+	}
+	return nil, result.Errorf(result.JobUnknown, "j1")
+}
+
+// writePair stores a pair's files and the authority's in a new directory.
+func writePair(t *testing.T, ca, pair Pair) settings.TLS {
+	t.Helper()
+	dir := t.TempDir()
+	files := settings.TLS{
+		CA:   filepath.Join(dir, "ca.pem"),
+		Cert: filepath.Join(dir, "cert.pem"),
+		Key:  filepath.Join(dir, "key.pem"),
+	}
+	storeKeys(t, files, ca, pair)
+	return files
+}
+
+func storeKeys(t *testing.T, files settings.TLS, ca, pair Pair) {
+	t.Helper()
+	for name, data := range map[string][]byte{files.CA: ca.Cert, files.Cert: pair.Cert, files.Key: pair.Key} {
+		if err := os.WriteFile(name, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func newCA(t *testing.T) Pair {
+	t.Helper()
+	ca, err := GenerateCA("test", 24*time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ca
+}
+
+func newPair(t *testing.T, ca Pair, id Identity, from, to time.Duration) Pair {
+	t.Helper()
+	pair, err := GenerateCert(ca, id, time.Now().Add(from), time.Now().Add(to))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return pair
+}
+
+func loadKeys(t *testing.T, files settings.TLS, deployment string) *Keys {
+	t.Helper()
+	k, err := LoadKeys(files, deployment)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// lockedBuffer collects the log.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(b)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func captureLog(t *testing.T) *lockedBuffer {
+	t.Helper()
+	out := &lockedBuffer{}
+	if err := obs.Setup(out, "text", "info"); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func helloOf(deployment, instance string) Hello {
+	id := Identity{Deployment: deployment, Instance: instance, Program: "entry"}
+	return Hello{Identity: id, Zone: "ishikari", Address: instance, Incarnation: "1"}
+}
+
+// serve runs an endpoint until the test's end.
+func serve(t *testing.T, cfg Config) *Endpoint {
+	t.Helper()
+	e := NewEndpoint(cfg)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := e.Serve(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	synctest.Wait()
+	return e
+}
