--- a/internal/bundle/keeper_test.go
+++ b/internal/bundle/keeper_test.go
@@ -304,7 +304,9 @@
 				time.Sleep(10 * time.Second)
 				before := w.platform.readCount()
 				time.Sleep(seconds * time.Second)
-				if n := w.platform.readCount() - before; n > tt.most || n < tt.least {
+				n := w.platform.readCount() - before
+				t.Logf("%d readings in %d s", n, seconds)
+				if n > tt.most || n < tt.least {
 					t.Errorf("%d readings in %d s, want %d to %d", n, seconds, tt.least, tt.most)
 				}
 			})
