--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: chaos-short build test test-race lint fmt demo bench-policy bench-entry measure chaos
+.PHONY: chaos-short build test test-race lint fmt demo bench-policy bench-entry measure chaos fuzz
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -50,3 +50,9 @@
 
 chaos-short:
 	$(MAKE) chaos CASE='(worker-killed|entry-stopped|answers-broken-keys-retried)'
+
+# fuzz looks for inputs that break the parsers, each for FUZZTIME.
+FUZZTIME ?= 5s
+fuzz:
+	$(GO) test ./internal/settings -run '^$$' -fuzz '^FuzzLoad$$' -fuzztime $(FUZZTIME)
+	$(GO) test ./internal/bundle -run '^$$' -fuzz '^FuzzParse$$' -fuzztime $(FUZZTIME)
