make measure: control cost of real processes, and the capacity page

Cause: the capacity page must rest on measured slopes. Change: sixteen small deployments of real processes measure twelve series at four sizes each; the page's tables and a plot per series are written from them. Before: no figures.

--- a/Makefile
+++ b/Makefile
@@ -56,3 +56,7 @@
 fuzz:
 	$(GO) test ./internal/settings -run '^$$' -fuzz '^FuzzLoad$$' -fuzztime $(FUZZTIME)
 	$(GO) test ./internal/bundle -run '^$$' -fuzz '^FuzzParse$$' -fuzztime $(FUZZTIME)
+
+# measure rewrites docs/capacity and the tables of docs/CAPACITY.md.
+measure: build
+	$(GO) test -tags chaos -count=1 -parallel 4 -timeout 600s -run '^TestMeasure$$' ./test/chaos
--- a/internal/capacity/estimates.go
+++ b/internal/capacity/estimates.go
@@ -7,13 +7,13 @@
 	targetWorkers = 4300.0
 	targetZones   = 7.0
 	targetTasks   = 35000.0
-	targetStarts  = 750.0 // a second, at the peak
+	targetStarts  = 750.0           // a second, at the peak
+	targetJobs    = 83000.0 / 86400 // a second
 	targetShards  = 70.0
 
 	instancesPerZone = targetShards / targetZones // one shard each
 	workersPerShard  = targetWorkers / targetShards
 	tasksPerShard    = targetTasks / targetShards
-	startsPerShard   = targetStarts / targetShards
 	peersInZone      = 2*instancesPerZone - 1 // an entry and a scheduler each
 	upstreamsInZone  = 10000 / targetZones
 	instancesInAll   = targetZones * instancesPerZone
@@ -86,7 +86,7 @@
 	},
 	{
 		role: "journal and snapshots", quantity: "table rows written", unit: "rows/s", bound: boundWrites,
-		terms:     []term{{series: JournalRows, x: startsPerShard, scale: targetShards}},
+		terms:     []term{{series: JournalRows, x: 0, scale: targetJobs}, {series: JournalRows, x: targetStarts, rise: true}},
 		mechanism: "group commit: one row for all decisions of a window",
 	},
 }
--- a/test/chaos/cluster_test.go
+++ b/test/chaos/cluster_test.go
@@ -23,18 +23,41 @@
 )
 
 const (
-	workersPerZone = 4
-	startWait      = 15 * time.Second
-	poll           = 50 * time.Millisecond
-	callTimeout    = 2 * time.Second
-	bundleLoad     = 10 * time.Second
+	startWait   = 15 * time.Second
+	poll        = 50 * time.Millisecond
+	callTimeout = 2 * time.Second
+	bundleLoad  = 10 * time.Second
 )
 
-// zones holds the entry instances of each availability zone.
-var zones = []struct {
+// zoneShape is an availability zone and its entry instances.
+type zoneShape struct {
 	name    string
 	entries int
-}{{"ishikari", 3}, {"tokachi", 2}, {"kamikawa", 2}}
+}
+
+// shape is the size and the timing of a deployment.
+type shape struct {
+	zones          []zoneShape
+	workersPerZone int
+	rackSize       int
+	shards         int
+	capacity       resource.Vector
+	heartbeat      time.Duration
+	exchange       time.Duration
+	grant          time.Duration
+	cycle          time.Duration
+	commit         time.Duration
+}
+
+// zones are the availability zones of the chaos cases.
+var zones = []zoneShape{{"ishikari", 3}, {"tokachi", 2}, {"kamikawa", 2}}
+
+// small is the shape of the chaos cases.
+var small = shape{
+	zones: zones, workersPerZone: 4, rackSize: 2, shards: 2, capacity: resource.Vector{MilliCPU: 8000, MemoryMB: 16000},
+	heartbeat: 300 * time.Millisecond, exchange: 300 * time.Millisecond, grant: 2 * time.Second,
+	cycle: 50 * time.Millisecond, commit: 10 * time.Millisecond,
+}
 
 // node is an entry instance with its two programs.
 type node struct {
@@ -47,6 +70,7 @@
 
 // cluster is a deployment of real programs on loopback addresses of its own.
 type cluster struct {
+	shape   shape
 	t       *testing.T
 	ctx     context.Context
 	rand    *rand.Rand
@@ -56,11 +80,18 @@
 	began   time.Time
 }
 
-// newCluster starts the programs and waits until they are ready.
+// newCluster starts the programs of the shape small and waits until they are
+// ready.
 func newCluster(t *testing.T, index int, seed uint64) *cluster {
+	t.Helper()
+	return newClusterOf(t, small, index, seed)
+}
+
+// newClusterOf starts the programs and waits until they are ready.
+func newClusterOf(t *testing.T, shape shape, index int, seed uint64) *cluster {
 	t.Helper()
 	c := &cluster{
-		t: t, ctx: t.Context(), rand: rand.New(rand.NewPCG(seed, uint64(index))), dir: t.TempDir(),
+		shape: shape, t: t, ctx: t.Context(), rand: rand.New(rand.NewPCG(seed, uint64(index))), dir: t.TempDir(),
 		ip: fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()%128, index+1), began: time.Now(),
 	}
 	c.admin = standin.NewAdmin("http://" + c.addr(7000))
@@ -68,7 +99,7 @@
 	c.until("the stand-in", startWait, func() bool { _, err := c.admin.Totals(c.ctx); return err == nil })
 	first := c.write("bundle", firstBundle())
 	n := 0
-	for _, z := range zones {
+	for _, z := range c.shape.zones {
 		for range z.entries {
 			c.addNode(n, z.name, first)
 			n++
@@ -95,9 +126,9 @@
 	entry := settings.Entry{Common: common, Listen: c.addr(7401 + i), MaxHeaderBytes: 64 << 10, MaxInFlight: 10_000, KeyRanges: 16}
 	common.PeerListen = c.addr(schedulerPort(i))
 	scheduler := settings.Scheduler{
-		Common: common, OperatorListen: c.addr(7501 + i), Shards: 2, Grant: seconds(2),
+		Common: common, OperatorListen: c.addr(7501 + i), Shards: c.shape.shards, Grant: job.Duration(c.shape.grant),
 		Promise:  settings.Promise{Latency: seconds(60), Batch: seconds(30)},
-		Exchange: job.Duration(300 * time.Millisecond), Cycle: job.Duration(50 * time.Millisecond), Commit: job.Duration(10 * time.Millisecond),
+		Exchange: job.Duration(c.shape.exchange), Cycle: job.Duration(c.shape.cycle), Commit: job.Duration(c.shape.commit),
 	}
 	n.scheduler = startProc(c.t, c.dir, n.id+"-scheduler", "skylark-scheduler", "run", "-settings", c.write(n.id+"-scheduler", scheduler))
 	n.entry = startProc(c.t, c.dir, n.id+"-entry", "skylark-entry", "run", "-settings", c.write(n.id+"-entry", entry))
@@ -111,14 +142,14 @@
 
 func (c *cluster) common(n *node, first string) settings.Common {
 	url := "http://" + c.addr(7000)
-	names := make([]string, len(zones))
-	for i, z := range zones {
+	names := make([]string, len(c.shape.zones))
+	for i, z := range c.shape.zones {
 		names[i] = z.name
 	}
 	return settings.Common{
 		Deployment: "chaos", Instance: n.id, Zone: n.zone, Zones: names,
 		Platform:  settings.Platform{Tables: url, Objects: url, Instances: url, Timeout: seconds(1)},
-		Heartbeat: job.Duration(300 * time.Millisecond), Drain: seconds(10),
+		Heartbeat: job.Duration(c.shape.heartbeat), Drain: seconds(10),
 		Log: settings.Log{Format: "text", Level: "info"}, BundleFile: first,
 	}
 }
@@ -127,8 +158,8 @@
 	s := settings.Standin{
 		Listen: c.addr(7000),
 		Workers: settings.StandinWorkers{
-			IP: c.ip, BasePort: 7100, RackSize: 2, Slots: 8, Conns: 64,
-			Capacity: resource.Vector{MilliCPU: 8000, MemoryMB: 16000},
+			IP: c.ip, BasePort: 10000, RackSize: c.shape.rackSize, Slots: 8, Conns: 64,
+			Capacity: c.shape.capacity,
 		},
 		ListLag: job.Duration(500 * time.Millisecond), WritesPerSec: 400, ReadsPerSec: 2000,
 		CallTimeout: seconds(5), UsageLag: seconds(1), StopDrain: seconds(5), HistoryRecords: 200_000,
@@ -137,8 +168,8 @@
 		Disturbances: []settings.StandinDisturb{{Victim: "lookup", Noisy: "valuation", Slowdown: 0.2}},
 	}
 	n := 0
-	for _, z := range zones {
-		s.Zones = append(s.Zones, settings.StandinZone{Name: z.name, Workers: workersPerZone})
+	for _, z := range c.shape.zones {
+		s.Zones = append(s.Zones, settings.StandinZone{Name: z.name, Workers: c.shape.workersPerZone})
 		for range z.entries {
 			s.Entries = append(s.Entries, settings.StandinEntry{
 				ID: nodeID(n), Zone: z.name, EntryPeer: c.addr(entryPort(n)), SchedulerPeer: c.addr(schedulerPort(n)),
@@ -204,10 +235,13 @@
 
 func (c *cluster) status(n *node) (api.Status, error) {
 	var s api.Status
-	err := ctl.NewClient(n.operatorURL, callTimeout).Get(c.ctx, api.PathStatus, nil, &s)
+	err := c.client(n).Get(c.ctx, api.PathStatus, nil, &s)
 	return s, err
 }
 
+// client returns a client of one operator API.
+func (c *cluster) client(n *node) *ctl.Client { return ctl.NewClient(n.operatorURL, callTimeout) }
+
 // operators returns a client of all operator APIs.
 func (c *cluster) operators() *ctl.Client {
 	servers := ""
