Admission: refuse at arrival by the rate that higher classes leave

Cause: batch requests waited out their deadline behind latency-critical ones before they were refused; single slow answers cut the adaptive limit. Change: the expected wait counts the rate left by higher classes, doubled for what may come in between; the adaptive limit follows the mean latency; 0.08 retries per request, so that saved ones stay under a tenth.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,12 +42,16 @@
 	tenantPart = 2
 	// caution multiplies the expected wait before it is held against the
 	// deadline, because later requests of other tenants may go first.
-	caution = 1.5
+	caution = 2
+	// leastRate is the least part of all slots' rate that a class is taken
+	// to get.
+	leastRate = 0.02
 	// maxIdleTenants is how many tenants without waiting requests a class
 	// remembers before it looks for those to forget.
 	maxIdleTenants = 256
 	// minRetryAfter is the least time that a refused caller is told to wait.
 	minRetryAfter = time.Second
+	maxRetryAfter = 30 * time.Second
 )
 
 // Queue orders the requests of one service.
@@ -64,6 +69,7 @@
 	active  []*tenant[T] // with requests waiting
 	clock   float64      // virtual start time of the newest request served
 	count   int
+	taken   rate
 }
 
 // tenant is the first-in first-out queue of a tenant in a class.
@@ -115,6 +121,7 @@
 	if q.ahead(classIndex(t.Class)) == 0 {
 		s, code := q.source.Take(t.Class)
 		if code == result.OK {
+			c.taken.add(time.Now())
 			return s, nil, nil
 		}
 		if code != result.QueueFull {
@@ -150,7 +157,7 @@
 	}
 	held, _ := q.source.Pace()
 	left := time.Until(t.Deadline)
-	if time.Duration(caution*float64(wait))+held <= left {
+	if caution*float64(wait)+float64(held) <= float64(left) {
 		return nil
 	}
 	if others := c.count - own; others > 0 && own > 0 && q.overShare(c, t, own) {
@@ -170,22 +177,32 @@
 
 // expected is the time until a request that is queued now gets its slot: the
 // requests of higher classes, and for each request of its own tenant ahead the
-// part of the others that goes in between.
+// part of the others that goes in between, at the rate that higher classes
+// leave.
 func (q *Queue[T]) expected(c *class[T], t Ticket, own int) time.Duration {
+	i := classIndex(t.Class)
 	held, slots := q.source.Pace()
-	higher := q.ahead(classIndex(t.Class)) - c.count
+	if slots == 0 {
+		return time.Duration(math.MaxInt64 / 4)
+	}
 	turns := float64(own+1) / float64(t.Weight)
-	before := float64(own + 1)
+	before := float64(q.ahead(i) - c.count + own + 1)
 	for _, a := range c.active {
 		if a.name != t.Tenant {
 			before += min(float64(len(a.queue)), turns*a.weight)
 		}
 	}
-	return time.Duration((float64(higher) + before) * float64(held) / float64(max(slots, 1)))
+	all := float64(slots) / held.Seconds()
+	left := all
+	now := time.Now()
+	for j := range i {
+		left -= q.classes[j].taken.perSecond(now)
+	}
+	return time.Duration(before / max(left, leastRate*all) * float64(time.Second))
 }
 
 func (q *Queue[T]) refuse(code result.Code, wait time.Duration) error {
-	return &Refusal{Code: code, RetryAfter: max(wait, minRetryAfter)}
+	return &Refusal{Code: code, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}
 }
 
 // queued returns how many requests of the tenant wait.
@@ -338,6 +355,9 @@
 	c.count--
 	c.clock = max(c.clock, w.start)
 	q.waiting.Add(-1)
+	if code == result.OK {
+		c.taken.add(time.Now())
+	}
 	w.slot <- grant[T]{slot, code}
 	c.retire(n)
 	return true
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -5,8 +5,9 @@
 
 // Bounds of a budget.
 const (
-	// DefaultRatio is the retries per request where the bundle names none.
-	DefaultRatio = 0.1
+	// DefaultRatio is the retries per request where the bundle names none. With
+	// what is saved up it stays under a tenth of the requests.
+	DefaultRatio = 0.08
 	unit         = 1 << 16 // fixed point of one retry
 	maxSaved     = 10      // retries that a quiet time saves up
 )
--- a/internal/route/upstream.go
+++ b/internal/route/upstream.go
@@ -46,7 +46,7 @@
 	slowStart      = 10 * time.Second       // a new upstream's weight rises over it
 	slowStartFloor = 0.1                    // weight of an upstream that is just new
 	limitUnit      = 1 << 16                // fixed point of the adaptive limit
-	slowFactor     = 3                      // latency over its floor that calls for a lower limit
+	slowFactor     = 3                      // mean latency over its floor that calls for a lower limit
 	floorDrift     = 64                     // samples over which the floor rises toward the mean
 	shrinkPause    = 100 * time.Millisecond // between two cuts of the adaptive limit
 )
@@ -144,7 +144,7 @@
 		u.ejects.Store(0)
 	}
 	u.observe(d)
-	if d > slowFactor*time.Duration(u.floor.Load()) && u.InFlight() > 1 {
+	if u.Latency() > slowFactor*time.Duration(u.floor.Load()) && u.InFlight() > 1 {
 		u.shrink(now)
 		return
 	}
