Forwarding: a cancelled attempt in place of a hidden body

Cause: requests without a body carried an empty one, so that net/http would not send them again by itself; it probed that body on a goroutine of its own. Change: the attempt is cancelled when the transport asks for a second connection. Tests: TestNoHiddenRetry; without the cancellation GET and OPTIONS are sent twice.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -33,6 +33,17 @@
 	sent   bool  // on a connection that it had before
 
 	deadline *time.Time
+	gets     int                // connections asked for
+	cancel   context.CancelFunc // of the attempt
+}
+
+// getConn ends the attempt when the transport asks for a second connection: it
+// would send the request again by itself, outside the budget.
+func (a *attempt) getConn(string) {
+	a.gets++
+	if a.gets > 1 {
+		a.cancel()
+	}
 }
 
 // gotConn notes the connection that the transport chose.
@@ -52,20 +63,24 @@
 }
 
 // reader hides the type of a body from net/http, so that it never sends a
-// request again by itself.
+// request with a body again by itself.
 type reader struct{ *bytes.Reader }
 
 // Close implements io.Closer.
 func (reader) Close() error { return nil }
 
-// do sends the call to t and returns the answer's head. It has read no body.
+// do sends the call to t and returns the answer's head. It has read no body; the
+// caller calls a.cancel after that.
 func (a *attempt) do(ctx context.Context, c *call, t *target) (*http.Response, *failure) {
-	a.trace.GotConn = a.gotConn
+	a.trace.GetConn, a.trace.GotConn = a.getConn, a.gotConn
 	deadline := c.deadline // apart from the call, which the connection would keep
 	a.deadline = &deadline
-	req := c.request(httptrace.WithClientTrace(ctx, &a.trace), t)
+	var own context.Context
+	own, a.cancel = context.WithCancel(ctx)
+	req := c.request(httptrace.WithClientTrace(own, &a.trace), t)
 	resp, err := t.transport.RoundTrip(req)
 	if err != nil {
+		a.cancel()
 		return nil, a.failed(ctx, err)
 	}
 	if f := a.check(c, t, resp); f != nil {
@@ -114,6 +129,7 @@
 		_ = a.conn.Close()
 	}
 	_ = resp.Body.Close()
+	a.cancel()
 }
 
 // delimited reports whether the end of the answer can be told from a break.
@@ -159,15 +175,10 @@
 	return r.WithContext(ctx)
 }
 
-// reader returns the body of one sending. A request without one has a body all
-// the same where net/http would otherwise send it again by itself.
+// reader returns the body of one sending.
 func (c *call) reader() io.ReadCloser {
 	if len(c.body) > 0 {
 		return reader{bytes.NewReader(c.body)}
 	}
-	switch c.method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		return reader{bytes.NewReader(nil)}
-	}
 	return http.NoBody
 }
--- a/internal/forward/matrix_test.go
+++ b/internal/forward/matrix_test.go
@@ -326,3 +326,30 @@
 		})
 	}
 }
+
+// TestNoHiddenRetry breaks requests off on connections that were used before,
+// where net/http would send an idempotent one again by itself.
+func TestNoHiddenRetry(t *testing.T) {
+	for _, q := range []req{
+		{"GET", "/services/teiki/x", "", nil},
+		{"OPTIONS", "/services/teiki/x", "", nil},
+		{"POST", "/services/teiki/x", "", nil},
+		{"POST", "/services/teiki/x", "body", nil},
+		{"POST", "/services/teiki/x", "", map[string]string{HeaderKey: "k2"}},
+	} {
+		t.Run(q.method+q.body+q.header[HeaderKey], func(t *testing.T) {
+			b := newBench(t, 1, withKeys(newMemoryKeys()))
+			checkCell(t, b.do(context.Background(), req{"GET", "/services/teiki/warm", "", nil}), result.OK, false)
+			b.up.set(faults["dies after effect"](b.up))
+			b.up.arrived.Store(0)
+			a := b.do(context.Background(), q)
+			if a.code() == result.OK || a.problem.NotRun {
+				t.Errorf("code %d, not_run %v", a.code(), a.problem.NotRun)
+			}
+			if n := b.up.arrived.Load(); n != 1 {
+				t.Errorf("sent %d times, want once", n)
+			}
+			b.idle()
+		})
+	}
+}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -150,6 +150,7 @@
 	}
 	finish := func(err error) {
 		_ = resp.Body.Close()
+		a.cancel()
 		h.ended(u, resp, err, time.Since(start))
 		release()
 	}
@@ -204,6 +205,7 @@
 	}
 	finish := func(error) {
 		_ = resp.Body.Close()
+		a.cancel()
 		h.elsewhere.Release()
 	}
 	return &answered{resp: resp, hop: true, finish: finish}, nil
