--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -42,7 +42,7 @@
 	tenantPart = 2
 	// caution multiplies the expected wait before it is held against the
 	// deadline, because later requests of other tenants may go first.
-	caution = 2
+	caution = 4
 	// leastRate is the least part of all slots' rate that a class is taken
 	// to get.
 	leastRate = 0.02
