--- /dev/null
+++ b/internal/shard/random_test.go
@@ -0,0 +1,247 @@
+package shard
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"skylarkport/internal/history"
+	"skylarkport/internal/job"
+	"skylarkport/internal/settings"
+	"skylarkport/internal/standin"
+)
+
+// Defaults of the random runs; -rapid.seed and -rapid.checks change them.
+const (
+	randomSeed   = "1"
+	randomChecks = "15"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": randomSeed, "rapid.checks": randomChecks, "rapid.nofailfile": "true"} {
+		if !given[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// TestRandomRuns draws several faults at random times, with owners that come,
+// pause, die and wake, and jobs that come and are cancelled. rapid prints the
+// seed of a failure. The seed is fixed unless -rapid.seed is given.
+func TestRandomRuns(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(rt *rapid.T) {
+		acts := rapid.SliceOfN(rapid.Custom(drawAct), 3, 10).Draw(rt, "acts")
+		var errs []string
+		synctest.Test(t, func(t *testing.T) { errs = playActs(t, acts) })
+		if len(errs) > 0 {
+			rt.Fatalf("%q", errs)
+		}
+	})
+}
+
+// act is one random event.
+type act struct {
+	Kind  string
+	After time.Duration // since the one before
+	For   time.Duration
+	Index int
+}
+
+var actKinds = []string{
+	"table-down", "table-slow", "table-late", "answer-lost", "cut", "worker-paused", "worker-answer-lost",
+	"worker-fails", "worker-late", "worker-killed", "worker-restarts", "owner-paused", "owner-killed", "owner-opens", "batch", "cancel",
+}
+
+func drawAct(t *rapid.T) act {
+	return act{
+		Kind:  rapid.SampledFrom(actKinds).Draw(t, "kind"),
+		After: time.Duration(rapid.IntRange(0, 20000).Draw(t, "after")) * time.Millisecond,
+		For:   time.Duration(rapid.IntRange(100, 30000).Draw(t, "for")) * time.Millisecond,
+		Index: rapid.IntRange(0, 3).Draw(t, "index"),
+	}
+}
+
+// player plays acts.
+type player struct {
+	w      *world
+	gates  []*gate
+	jobs   int
+	cancel map[string]bool
+	dead   int
+}
+
+func playActs(t *testing.T, acts []act) []string {
+	p := &player{w: newWorld(t, 4, settings.Standin{}), cancel: map[string]bool{}}
+	p.w.told = p.told
+	p.open()
+	p.w.submit(service("confirm", 2))
+	p.batch()
+	for _, a := range acts {
+		time.Sleep(a.After)
+		p.play(a)
+	}
+	time.Sleep(time.Minute)
+	p.w.sys.Clear()
+	for _, g := range p.gates {
+		g.resume()
+	}
+	time.Sleep(time.Minute)
+	p.open()
+	// A worker that died together with its owner's knowledge of the grant
+	// holds its tasks until the promise has passed.
+	time.Sleep(p.w.cfg.Promise + 5*time.Minute)
+	return p.verdict()
+}
+
+func (p *player) told(id job.RunID) bool {
+	for _, g := range p.gates {
+		if g.heard(id) {
+			return true
+		}
+	}
+	return false
+}
+
+// open starts another owner, with or without a reason.
+func (p *player) open() {
+	g := newGate(p.w.platform("x"))
+	p.gates = append(p.gates, g)
+	cfg := p.w.cfg
+	cfg.Owner = fmt.Sprint("owner", len(p.gates))
+	go func() {
+		for range 300 {
+			if _, err := p.w.openPolicy(cfg, g.platform(), NewPolicy(placementDefaults)); err == nil || g.isDead() {
+				return
+			}
+			time.Sleep(time.Second)
+		}
+	}()
+}
+
+func (g *gate) heard(id job.RunID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.told[id]
+}
+
+func (g *gate) isDead() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dead
+}
+
+func (p *player) batch() {
+	p.jobs++
+	p.w.submit(batch(fmt.Sprint("batch", p.jobs), 5, 8*time.Second))
+}
+
+func (p *player) play(a act) {
+	worker := p.w.fleet()[a.Index].ID
+	inject := func(f standin.Fault) {
+		if f.For == 0 {
+			f.For = job.Duration(a.For)
+		}
+		if err := p.w.sys.Inject(f); err != nil {
+			panic(err)
+		}
+	}
+	newest := p.gates[len(p.gates)-1]
+	switch a.Kind {
+	case "table-down":
+		inject(standin.Fault{Kind: standin.Down, Target: "tables"})
+	case "table-slow":
+		inject(standin.Fault{Kind: standin.Slow, Target: "tables", Delay: job.Duration(a.For / 10)})
+	case "table-late":
+		inject(standin.Fault{Kind: standin.Late, Target: "tables", Delay: job.Duration(a.For / 10)})
+	case "answer-lost":
+		inject(standin.Fault{Kind: standin.Lost, Target: "tables", Count: a.Index + 1})
+	case "cut":
+		inject(standin.Fault{Kind: standin.Cut, From: testZone, To: standin.PlatformZone})
+	case "worker-paused":
+		inject(standin.Fault{Kind: standin.Pause, Target: worker})
+	case "worker-answer-lost":
+		inject(standin.Fault{Kind: standin.Lost, Target: worker, Count: 3})
+	case "worker-fails":
+		inject(standin.Fault{Kind: standin.FailAll, Target: worker})
+	case "worker-late":
+		inject(standin.Fault{Kind: standin.ReportLate, Target: worker, Delay: job.Duration(a.For)})
+	case "worker-killed":
+		if p.dead++; p.dead == 1 {
+			p.w.kill(worker)
+		}
+	case "worker-restarts":
+		p.dies(worker)
+		inject(standin.Fault{Kind: standin.Restart, Target: worker, Delay: job.Duration(a.For / 10)})
+	case "owner-paused":
+		newest.pause()
+		time.AfterFunc(a.For, newest.resume)
+	case "owner-killed":
+		newest.kill()
+		p.open()
+	case "owner-opens":
+		p.open()
+	case "batch":
+		p.batch()
+	case "cancel":
+		id := fmt.Sprint("batch", p.jobs)
+		p.cancel[id] = true
+		go p.w.cancel(id)
+	}
+}
+
+// dies notes that every incarnation of the worker so far may have died.
+func (p *player) dies(worker string) {
+	for i := range 20 {
+		p.w.died[fmt.Sprintf("%s#%d", worker, i+1)] = true
+	}
+}
+
+func (o *Owner) failure() error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.err
+}
+
+func (p *player) verdict() []string {
+	var out []string
+	o := p.w.owner()
+	if o == nil {
+		return []string{"nobody owns the shard"}
+	}
+	if got := p.w.states(o, "confirm"); got != "running=2" {
+		out = append(out, "service: "+got)
+	}
+	if err := o.failure(); err != nil {
+		out = append(out, "the owner gave up: "+err.Error())
+	}
+	var expect []history.Expect
+	for i := range p.jobs {
+		id := fmt.Sprint("batch", i+1)
+		got := p.w.states(o, id)
+		if p.cancel[id] {
+			continue
+		}
+		if got != "finished=5" {
+			out = append(out, id+": "+got)
+		}
+		expect = append(expect, history.Expect{Job: id, Finished: 5})
+	}
+	if t := o.Totals(); t.Finished+t.Cancelled != int64(5*p.jobs) {
+		out = append(out, fmt.Sprintf("totals: %+v", t))
+	}
+	for _, g := range p.gates {
+		g.kill()
+	}
+	p.w.close()
+	return append(out, p.w.audit(expect...)...)
+}
