Checker: cuts after the signal, keys without their header, more exposure

Cause: trials with planted faults. An entry that closed at once on SIGTERM and one that sent non-idempotent requests again passed the cases. Two planted violations more.

--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -50,7 +50,7 @@
 			{RequestID: "r5", Code: result.NoUpstream, NotRun: true},
 			{RequestID: "r6", Broken: true, Entry: "e1", Sent: 11 * second, Ended: 12 * second},
 		},
-		Stops: []Stop{{Instance: "e1", At: 10 * second}},
+		Stops: []Stop{{Instance: "e1", At: 10 * second, Exited: 13 * second}},
 		Versions: []Version{
 			{"e1", second, 1},
 			{"e1", 10 * second, 1},
@@ -74,6 +74,10 @@
 			in.again(4)
 			in.Record.Executions[5].RequestID = "r4"
 		}, []Rule{AtMostOnce}},
+		{"a key runs twice, once without its header", func(in *Input) {
+			in.again(4)
+			in.Record.Executions[5].RequestID, in.Record.Executions[5].Key = "r4", ""
+		}, []Rule{AtMostOnce}},
 		{"a request runs twice, once broken off", func(in *Input) {
 			in.again(3)
 			in.Record.Executions[5].How = Broken
@@ -119,6 +123,12 @@
 		{"a stop breaks a request in flight", func(in *Input) {
 			in.Calls[1].Broken = true
 		}, []Rule{GracefulStop}},
+		{"a stop breaks a request that came after the signal", func(in *Input) {
+			in.Calls[1].Broken, in.Calls[1].Sent = true, 10*second+1
+		}, []Rule{GracefulStop}},
+		{"a request after the exit", func(in *Input) {
+			in.Calls[1].Broken, in.Calls[1].Sent, in.Calls[1].Ended = true, 14*second, 15*second
+		}, nil},
 		{"a stop that fails", func(in *Input) { in.Stops[0].ExitCode = 1 }, []Rule{GracefulStop}},
 		{"a stopped run cuts off a request", func(in *Input) {
 			in.Record.Executions[0].How, in.Record.Executions[0].Run = CutOff, runID(1)
--- a/internal/history/input.go
+++ b/internal/history/input.go
@@ -26,6 +26,7 @@
 type Stop struct {
 	Instance string        `json:"instance"`
 	At       time.Duration `json:"at_ns"` // of the signal
+	Exited   time.Duration `json:"exited_ns"`
 	ExitCode int           `json:"exit_code"`
 }
 
--- a/test/chaos/callers_test.go
+++ b/test/chaos/callers_test.go
@@ -3,6 +3,7 @@
 package chaos
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -26,13 +27,14 @@
 const (
 	tenant       = "teiki"
 	service      = "lookup"
-	callerCount  = 6
+	callerCount  = 10
 	callerPause  = 10 * time.Millisecond
 	keyAttempts  = 4
 	keyPause     = 150 * time.Millisecond
 	clientGrace  = 2 * time.Second
 	arrivalGrace = 20 * time.Millisecond // from the writing of a request to its reading
 	slowAnswer   = 400 * time.Millisecond
+	stopDelay    = 2 * time.Second // beyond the time that an entry keeps listening after a signal
 )
 
 // callers send requests until they are stopped, and log what they saw.
@@ -51,6 +53,8 @@
 	key    string
 	body   string
 	path   string
+	// timeout replaces callTimeout where it is not zero.
+	timeout time.Duration
 }
 
 // startCallers starts callers with seeds of their own.
@@ -85,7 +89,7 @@
 	if r.IntN(10) == 0 {
 		op.path += "?" + standin.QueryDelay + "=" + slowAnswer.String()
 	}
-	switch r.IntN(5) {
+	switch r.IntN(3) {
 	case 0:
 		op.method, op.body = http.MethodPost, id
 	case 1:
@@ -117,12 +121,12 @@
 	}
 }
 
-// once sends one slow request through n, beside the others.
+// once sends one request that takes stopDelay through n, beside the others.
 func (cs *callers) once(n *node, id string) {
 	cs.wg.Go(func() {
 		client := &http.Client{Transport: &http.Transport{}}
 		defer client.CloseIdleConnections()
-		op := operation{id: id, method: http.MethodPost, body: id, path: "/chaos/" + id + "?" + standin.QueryDelay + "=" + slowAnswer.String()}
+		op := operation{id: id, method: http.MethodPost, body: id, path: "/chaos/" + id + "?" + standin.QueryDelay + "=" + stopDelay.String(), timeout: 2 * stopDelay}
 		call := cs.send(client, n, op, 0)
 		cs.mu.Lock()
 		defer cs.mu.Unlock()
@@ -142,7 +146,8 @@
 		defer mu.Unlock()
 		wrote = cs.cluster.now()
 	}}
-	ctx, cancel := context.WithTimeout(httptrace.WithClientTrace(context.Background(), trace), callTimeout+clientGrace)
+	timeout := cmp.Or(op.timeout, callTimeout)
+	ctx, cancel := context.WithTimeout(httptrace.WithClientTrace(context.Background(), trace), timeout+clientGrace)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, op.method, n.entryURL+"/services/"+service+op.path, strings.NewReader(op.body))
 	if err != nil {
@@ -150,7 +155,7 @@
 	}
 	req.GetBody = nil // the client must not send again by itself
 	req.Header.Set("Skylark-Tenant", tenant)
-	req.Header.Set(contract.HeaderDeadline, strconv.FormatInt(callTimeout.Milliseconds(), 10))
+	req.Header.Set(contract.HeaderDeadline, strconv.FormatInt(timeout.Milliseconds(), 10))
 	req.Header.Set(contract.HeaderRequestID, call.RequestID)
 	if op.key != "" {
 		req.Header["idempotency-key"] = []string{op.key}
--- a/test/chaos/chaos_test.go
+++ b/test/chaos/chaos_test.go
@@ -252,8 +252,8 @@
 		}
 	}},
 	{"answers-broken-keys-retried", func(s *scene) {
-		s.inject(standin.Fault{Kind: standin.UpstreamFail, Target: "workers", Count: 20})
-		s.inject(standin.Fault{Kind: standin.UpstreamBreak, Target: "workers", Count: 20})
+		s.inject(standin.Fault{Kind: standin.UpstreamFail, Target: "workers", Count: 80})
+		s.inject(standin.Fault{Kind: standin.UpstreamBreak, Target: "workers", Count: 40})
 		time.Sleep(3 * time.Second)
 	}},
 	{"entry-stopped", func(s *scene) {
@@ -313,6 +313,7 @@
 	stop := history.Stop{Instance: n.id, At: s.now()}
 	n.entry.signal(syscall.SIGTERM)
 	stop.ExitCode = n.entry.exit()
+	stop.Exited = s.now()
 	s.stops = append(s.stops, stop)
 	n.entry.start(s.t)
 	s.until("the entry is back", startWait, func() bool { return ready(s.ctx, n.entryURL) })
--- a/test/chaos/cluster_test.go
+++ b/test/chaos/cluster_test.go
@@ -186,7 +186,7 @@
 		Tenants: []bundle.Tenant{{Name: tenant, Weight: 1}},
 		Services: []bundle.Service{{
 			Name: service, Target: job.Duration(50 * time.Millisecond), Timeout: seconds(2), Class: job.LatencyCritical,
-			MaxBodyBytes: 1 << 20, MaxAnswerBytes: 1 << 20, RetryRatio: 0.2,
+			MaxBodyBytes: 1 << 20, MaxAnswerBytes: 1 << 20, RetryRatio: 1,
 		}},
 		Placement: bundle.Placement{
 			TailWeight: 1, ThroughputWeight: 1, EvictionWeight: 1, UsagePercentile: 0.95, ProcessorMargin: 0.2, MemoryMargin: 0.3,
