--- a/internal/shard/inbox.go
+++ b/internal/shard/inbox.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"skylarkport/internal/contract"
+	"skylarkport/internal/result"
 )
 
 // InboxTable holds new work for the shards.
@@ -27,6 +28,13 @@
 	return b
 }
 
+// DecodeMessage reads the value of an inbox row.
+func DecodeMessage(value []byte) (Message, error) {
+	var m Message
+	err := json.Unmarshal(value, &m)
+	return m, result.Wrap(result.Internal, err, "inbox message")
+}
+
 // inbox reads the shard's inbox every cycle and when kicked.
 func (o *Owner) inbox(ctx context.Context) {
 	t := time.NewTicker(o.cfg.Cycle)
@@ -93,8 +101,8 @@
 		if _, ok := o.taken[row.Key.Row]; ok {
 			continue
 		}
-		var m Message
-		if err := json.Unmarshal(row.Value, &m); err != nil {
+		m, err := DecodeMessage(row.Value)
+		if err != nil {
 			o.logger.WithError(err).WithField("row", row.Key.Row).Error("unreadable message, dropped")
 			o.take(row, nil)
 			continue
@@ -106,8 +114,7 @@
 		o.take(row, o.admit(&m))
 	}
 	for _, row := range cancels {
-		var m Message
-		_ = json.Unmarshal(row.Value, &m) // was read above
+		m, _ := DecodeMessage(row.Value) // was read above
 		var records []*Record
 		for _, id := range m.Cancel {
 			records = append(records, o.cancel(id)...)
