The list of instances is sent when it changed; answers are compressed

Change: entity tags on the list, cached by the client; answers over 512 bytes are compressed where the client accepts it. Conclusion: a list that did not change costs its headers only.

--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"slices"
+	"sync"
 
 	"skylarkport/internal/contract"
 	"skylarkport/internal/result"
@@ -112,11 +114,35 @@
 
 type instances struct{ c *Client }
 
+// listCache is the newest list of instances and its entity tag, so that a list
+// that did not change is not sent again.
+type listCache struct {
+	mu   sync.Mutex
+	tag  string
+	list []contract.Instance
+}
+
 // List implements contract.Instances.
 func (i instances) List(ctx context.Context) ([]contract.Instance, error) {
+	cache := &i.c.listed
+	cache.mu.Lock()
+	tag, list := cache.tag, cache.list
+	cache.mu.Unlock()
+	body, next, err := i.c.callTagged(ctx, platformAway, i.c.cfg.Instances+PathInstances, tag)
+	if err != nil {
+		return nil, err
+	}
+	if body == nil {
+		return slices.Clone(list), nil
+	}
 	var reply ListReply
-	err := i.c.callJSON(ctx, platformAway, http.MethodGet, i.c.cfg.Instances+PathInstances, nil, &reply)
-	return reply.Instances, err
+	if err := decodeAnswer(platformAway, body, &reply); err != nil {
+		return nil, err
+	}
+	cache.mu.Lock()
+	cache.tag, cache.list = next, reply.Instances
+	cache.mu.Unlock()
+	return slices.Clone(reply.Instances), nil
 }
 
 type workers struct{ c *Client }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -59,6 +59,7 @@
 	http    *http.Client
 	timeout time.Duration
 	bytes   meter.Bytes
+	listed  listCache
 }
 
 // New returns a client for the services that cfg names.
@@ -79,7 +80,6 @@
 		},
 		MaxIdleConnsPerHost: idleConnsPerHost,
 		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
 	}
 	c.http = &http.Client{Transport: transport}
 	return c
@@ -128,6 +128,10 @@
 	if err != nil || out == nil {
 		return err
 	}
+	return decodeAnswer(a, answer, out)
+}
+
+func decodeAnswer(a away, answer []byte, out any) error {
 	if err := json.Unmarshal(answer, out); err != nil {
 		return unknown(a.unknown, "answer: "+err.Error())
 	}
@@ -139,26 +143,45 @@
 	if len(body) > MaxBodyBytes {
 		return nil, refused(result.PlatformBad, fmt.Sprintf("body of %d bytes is over %d", len(body), MaxBodyBytes))
 	}
+	header := http.Header{"Content-Type": {kind}}
+	answer, _, err := c.send(ctx, a, method, url, header, body)
+	return answer, err
+}
+
+// callTagged asks for what url holds unless it still has the entity tag that
+// the caller knows. It returns the new tag, and a nil body where nothing
+// changed.
+func (c *Client) callTagged(ctx context.Context, a away, url, tag string) ([]byte, string, error) {
+	header := http.Header{}
+	if tag != "" {
+		header.Set("If-None-Match", tag)
+	}
+	return c.send(ctx, a, http.MethodGet, url, header, nil)
+}
+
+// send sends one request and returns the body of its answer and its entity tag.
+func (c *Client) send(ctx context.Context, a away, method, url string, header http.Header, body []byte) ([]byte, string, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, url, bytes.NewReader(body))
 	if err != nil {
-		return nil, refused(result.PlatformBad, err.Error())
+		return nil, "", refused(result.PlatformBad, err.Error())
 	}
-	req.Header.Set("Content-Type", kind)
+	req.Header = header
 	req.Header.Set(HeaderFromZone, c.from.Zone)
 	req.Header.Set(HeaderFromInstance, c.from.Instance)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		if connected.Load() {
-			return nil, unknown(a.unknown, err.Error())
+			return nil, "", unknown(a.unknown, err.Error())
 		}
-		return nil, refused(a.refused, err.Error())
+		return nil, "", refused(a.refused, err.Error())
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return readAnswer(a, resp)
+	answer, err := readAnswer(a, resp)
+	return answer, resp.Header.Get("ETag"), err
 }
 
 func readAnswer(a away, resp *http.Response) ([]byte, error) {
@@ -169,6 +192,9 @@
 	if len(answer) > MaxBodyBytes {
 		return nil, unknown(a.unknown, "answer is too large")
 	}
+	if resp.StatusCode == http.StatusNotModified {
+		return nil, nil
+	}
 	if resp.StatusCode/100 == 2 {
 		return answer, nil
 	}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -4,13 +4,17 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/labstack/echo/v4"
+	"github.com/labstack/echo/v4/middleware"
 
 	"skylarkport/internal/contract"
 	"skylarkport/internal/history"
@@ -32,9 +36,18 @@
 	State contract.State `json:"state"`
 }
 
+// compressMin is the least size of an answer that is sent compressed, in bytes.
+const compressMin = 512
+
+// compressed compresses answers for clients that accept it.
+func compressed() echo.MiddlewareFunc {
+	return middleware.GzipWithConfig(middleware.GzipConfig{MinLength: compressMin})
+}
+
 // Handler returns the platform's services and the admin endpoint.
 func (s *System) Handler() http.Handler {
 	e := echo.New()
+	e.Use(compressed())
 	e.POST(platform.PathRead, s.read)
 	e.POST(platform.PathScan, s.scan)
 	e.POST(platform.PathCommit, s.commit)
@@ -103,7 +116,19 @@
 
 func (s *System) list(c echo.Context) error {
 	list, err := s.Instances(caller(c.Request())).List(c.Request().Context())
-	return answer(c, platform.ListReply{Instances: list}, err)
+	if err != nil {
+		return fail(c, err)
+	}
+	body, err := json.Marshal(platform.ListReply{Instances: list})
+	if err != nil {
+		return err
+	}
+	tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(body), 16))
+	c.Response().Header().Set("ETag", tag)
+	if c.Request().Header.Get("If-None-Match") == tag {
+		return c.NoContent(http.StatusNotModified)
+	}
+	return c.JSONBlob(http.StatusOK, body)
 }
 
 func (s *System) postFault(c echo.Context) error {
@@ -125,6 +150,7 @@
 // control returns the handler of the worker's control interface.
 func (w *worker) control() http.Handler {
 	e := echo.New()
+	e.Use(compressed())
 	e.POST(platform.PathExchange, func(c echo.Context) error {
 		var req contract.ExchangeRequest
 		if err := decode(c.Request(), &req); err != nil {
