Idle shards decide once a second; falling series are not extended below zero

And a flat series gave a negative estimate. Change: a cycle is left out while no proposal was made since the last one, up to a second; an estimate takes the largest point of a series that does not rise.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -31,6 +31,29 @@
 
 func far(a, b float64) bool { return math.Abs(a-b) > 1e-9 }
 
+func TestEstimateOfAFallingSeries(t *testing.T) {
+	s := Series{Name: "falling", Points: []Point{{1, 4}, {2, 3}, {3, 2}, {4, 1}}}
+	s.Fit, _ = Line(s.Points)
+	r := &Results{Series: []Series{s}}
+	tests := []struct {
+		name string
+		term term
+		want float64
+	}{
+		{"level", term{series: "falling", x: 100}, 4},
+		{"scaled", term{series: "falling", x: 100, scale: 2}, 8},
+		{"rise", term{series: "falling", x: 100, rise: true}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := estimate{terms: []term{tt.term}}
+			if got, how, ok := e.value(r); !ok || far(got, tt.want) {
+				t.Errorf("value = %v (%s), %v; want %v", got, how, ok, tt.want)
+			}
+		})
+	}
+}
+
 func TestWriteRegeneratesTheTables(t *testing.T) {
 	docs := t.TempDir()
 	page := "a\n<!-- begin slopes -->\nold\n<!-- end slopes -->\nb\n<!-- begin roles -->\n<!-- end roles -->\nc\n"
--- a/internal/capacity/estimates.go
+++ b/internal/capacity/estimates.go
@@ -124,8 +124,8 @@
 		if i > 0 {
 			how += " + "
 		}
-		v += t.value(s.Fit)
-		how += t.text()
+		v += t.value(s)
+		how += t.text(s)
 	}
 	return v, how, true
 }
@@ -137,20 +137,31 @@
 	return t.scale
 }
 
-func (t *term) value(f Fit) float64 {
+// flat reports whether the series does not rise, so that its line must not be
+// extended downwards: its largest point stands for every size.
+func (t *term) flat(s *Series) bool { return s.Fit.Slope <= 0 && !t.rise }
+
+func (t *term) value(s *Series) float64 {
+	f := s.Fit
+	if t.flat(s) {
+		f = Fit{Intercept: s.largest()}
+	}
 	if t.rise {
-		f.Intercept = 0
+		f = Fit{Slope: max(f.Slope, 0)}
 	}
 	return t.factor() * f.At(t.x)
 }
 
-func (t *term) text() string {
-	s := fmt.Sprintf("%s at %s", t.series, number(t.x))
+func (t *term) text(s *Series) string {
+	text := fmt.Sprintf("%s at %s", t.series, number(t.x))
 	if t.rise {
-		s = fmt.Sprintf("rise of %s to %s", t.series, number(t.x))
+		text = fmt.Sprintf("rise of %s to %s", t.series, number(t.x))
+	}
+	if t.flat(s) {
+		text = "largest of " + t.series + ", which does not rise"
 	}
 	if t.scale != 0 {
-		s += " × " + number(t.scale)
+		text += " × " + number(t.scale)
 	}
-	return s
+	return text
 }
--- a/internal/capacity/series.go
+++ b/internal/capacity/series.go
@@ -25,6 +25,15 @@
 	Fit     Fit     `json:"fit"`
 }
 
+// largest returns the largest value of the series.
+func (s *Series) largest() float64 {
+	y := s.Points[0].Y
+	for _, p := range s.Points {
+		y = max(y, p.Y)
+	}
+	return y
+}
+
 // Fit is a straight line through a series.
 type Fit struct {
 	Intercept float64 `json:"intercept"`
--- a/internal/shard/cycle.go
+++ b/internal/shard/cycle.go
@@ -23,6 +23,11 @@
 	}
 	o.configure()
 	o.mu.Lock()
+	if o.idle() {
+		o.mu.Unlock()
+		return
+	}
+	o.cycledAt, o.cycled = o.now(), o.decided
 	s := o.snapshot()
 	o.mu.Unlock()
 	plan := o.policy.Decide(s)
@@ -33,6 +38,15 @@
 	}
 }
 
+// idleCycle is the time between two cycles while nothing was decided or taken in.
+const idleCycle = time.Second
+
+// idle reports whether a cycle would look at what the last one saw: no work was
+// taken in or ended and nothing was decided since. The lock is held.
+func (o *Owner) idle() bool {
+	return o.cycledAt > 0 && o.decided == o.cycled && o.now()-o.cycledAt < idleCycle
+}
+
 // configure puts a newly accepted bundle in force.
 func (o *Owner) configure() {
 	if o.ext.Bundle == nil {
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -29,26 +29,28 @@
 
 	unread unread
 
-	mu      sync.Mutex
-	st      *State // with everything that was decided
-	durable *State // with what the journal holds
-	queue   []proposal
-	queued  chan struct{}
-	decided uint64 // number of the newest proposal
-	stored  uint64 // number of the newest durable proposal
-	rows    uint64 // durable since the newest snapshot
-	saving  bool   // a snapshot is being stored
-	promise lease.Promise
-	renewal bool // a promise record is on its way
-	workers map[string]*worker
-	runs    map[job.RunID]*track
-	tasks   map[job.TaskID]*wait
-	taken   map[string]bool // inbox rows that were consumed; true once that is durable
-	events  ring
-	routes  feed.Version
-	fence   time.Duration // until when an earlier owner's grants may be in force
-	err     error
-	wake    chan struct{} // closed when err is set
+	mu       sync.Mutex
+	st       *State // with everything that was decided
+	durable  *State // with what the journal holds
+	queue    []proposal
+	queued   chan struct{}
+	decided  uint64        // number of the newest proposal
+	stored   uint64        // number of the newest durable proposal
+	cycled   uint64        // newest proposal at the newest cycle
+	cycledAt time.Duration // of the newest cycle; 0 for none
+	rows     uint64        // durable since the newest snapshot
+	saving   bool          // a snapshot is being stored
+	promise  lease.Promise
+	renewal  bool // a promise record is on its way
+	workers  map[string]*worker
+	runs     map[job.RunID]*track
+	tasks    map[job.TaskID]*wait
+	taken    map[string]bool // inbox rows that were consumed; true once that is durable
+	events   ring
+	routes   feed.Version
+	fence    time.Duration // until when an earlier owner's grants may be in force
+	err      error
+	wake     chan struct{} // closed when err is set
 }
 
 // track is what the owner knows of a run besides its state.
