--- a/internal/share/division.go
+++ b/internal/share/division.go
@@ -108,16 +108,18 @@
 	return best
 }
 
-// excess returns how many of its seats id should give away.
+// excess returns how many of its seats id should give away: what is above its
+// part, or what brings the poorest member up to its part.
 func (d *Division) excess(id string) int {
 	n := len(d.Members)
 	if n < 2 || !d.Member(id) {
 		return 0
 	}
 	own := d.Of(id).Len()
-	poorest := d.Of(d.poorest()).Len()
-	if own-poorest < 2 {
-		return 0
+	least, most := SeatCount/n, (SeatCount+n-1)/n
+	if own > most {
+		return own - most
 	}
-	return own - (SeatCount+n-1)/n
+	missing := least - d.Of(d.poorest()).Len()
+	return max(0, min(own-least, missing))
 }
