--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -81,8 +81,9 @@
 }
 
 type waiter[T any] struct {
-	start float64 // virtual start time
-	slot  chan grant[T]
+	ticket Ticket
+	start  float64 // virtual start time
+	slot   chan grant[T]
 }
 
 type grant[T any] struct {
@@ -225,7 +226,7 @@
 
 func (q *Queue[T]) push(c *class[T], t Ticket) *waiter[T] {
 	n := c.of(t)
-	w := &waiter[T]{start: max(c.clock, n.finish), slot: make(chan grant[T], 1)}
+	w := &waiter[T]{ticket: t, start: max(c.clock, n.finish), slot: make(chan grant[T], 1)}
 	n.finish = w.start + 1/n.weight
 	if len(n.queue) == 0 {
 		c.active = append(c.active, n)
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -163,11 +163,17 @@
 	}
 }
 
-// wakeAll hands free slots to every service that waits.
+// wakeAll hands free slots to every service that waits, and refuses what has
+// become too late.
 func (s *services) wakeAll() {
-	if m := s.all.Load(); m != nil {
-		for _, v := range *m {
-			v.queue.Dispatch()
+	m := s.all.Load()
+	if m == nil {
+		return
+	}
+	for _, v := range *m {
+		v.queue.Dispatch()
+		if v.queue.Waiting() > 0 {
+			v.queue.Shed()
 		}
 	}
 }
--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,47 @@
+package retry
+
+import "testing"
+
+func TestBudget(t *testing.T) {
+	tests := []struct {
+		name     string
+		requests int
+		ratio    float64
+		want     int // retries granted when every request asks for one
+	}{
+		{"empty", 0, 0.08, 0},
+		{"below one", 12, 0.08, 0},
+		{"in proportion", 1000, 0.08, 79},
+		{"none allowed", 1000, 0, 0},
+		{"one each", 100, 1, 100},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var b Budget
+			got := 0
+			for range tt.requests {
+				b.Deposit(tt.ratio)
+				if b.Withdraw() {
+					got++
+				}
+			}
+			if got < tt.want || got > tt.want+1 {
+				t.Errorf("%d retries, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestBudgetSavesLittle(t *testing.T) {
+	var b Budget
+	for range 100000 {
+		b.Deposit(1)
+	}
+	got := 0
+	for b.Withdraw() {
+		got++
+	}
+	if got != maxSaved {
+		t.Errorf("%d retries saved, want %d", got, maxSaved)
+	}
+}
