Preemption: throttle before moving; moves weighed by the square of evictions' share

Change: where processors alone are short, lower priorities are throttled to make room and released when room returns, also on workers without services; memory grows by what the worker has left before a run is moved for it.

--- a/internal/placement/cycle.go
+++ b/internal/placement/cycle.go
@@ -157,7 +157,7 @@
 // step decides a step for a run. Apart from preemptions, a worker gets steps of
 // one stage in a cycle.
 func (c *cycle) step(s Step, n *node, r *Run, commit resource.Vector, stage, format string, args ...any) {
-	n.busy = n.busy || s != Preempt
+	n.busy = n.busy || stage != StagePreemption
 	c.decide(Decision{
 		Step: s, Task: r.ID.Task, Run: r.ID, Worker: n.w.ID, Commit: commit,
 		Reason: Reason{Stage: stage, Detail: fmt.Sprintf(format, args...)},
--- a/internal/placement/grow.go
+++ b/internal/placement/grow.go
@@ -12,6 +12,7 @@
 	tightProcessor = 0.95 // use over commitment at which processors grow
 	growProcessor  = 0.5  // fraction by which processors grow
 	shrinkBelow    = 0.7  // wanted over committed processors or memory at which a run shrinks
+	leastGrowth    = 1.05 // of memory that is worth having instead of a move
 	shrinkAge      = time.Minute
 )
 
@@ -57,6 +58,11 @@
 	if c.resize(n, r, held, want, StageGrow, "memory is nearly used up") {
 		return
 	}
+	part := held
+	part.MemoryMB += n.free.MemoryMB
+	if float64(part.MemoryMB) >= leastGrowth*float64(held.MemoryMB) && c.resize(n, r, held, part, StageGrow, "memory is nearly used up; the worker has no more") {
+		return
+	}
 	if r.Spec.Kind != job.Batch || !c.holdable(want) {
 		return
 	}
--- a/internal/placement/preemption.go
+++ b/internal/placement/preemption.go
@@ -11,14 +11,14 @@
 // maxCleared is how many workers are compared for a preemption.
 const maxCleared = 128
 
-// preempt makes room for an urgent or latency-critical task by moving batch
-// runs of lower priority, on the worker where that costs least. It returns
-// false where t may not preempt or no worker can be cleared.
+// preempt makes room for an urgent or latency-critical task by throttling or,
+// where that does not do, moving batch runs of lower priority, on the worker
+// where that costs least. It returns false where t may not preempt or no worker can be cleared.
 func (c *cycle) preempt(t *candidate) bool {
 	if t.p.Spec.Kind == job.Batch && !t.p.Spec.Urgent {
 		return false
 	}
-	if c.awaitRoom(t) {
+	if c.awaitRoom(t) || c.squeeze(t) {
 		return true
 	}
 	var (
@@ -26,20 +26,13 @@
 		victims []*Run
 		cost    float64
 	)
-	start := int(startOf(t.p.Task) % uint64(max(len(c.nodes), 1)))
-	for i := range c.nodes {
-		n := c.nodes[(start+i)%len(c.nodes)]
-		if i >= maxCleared && found != nil {
-			break
-		}
-		if !n.open() || n.busy || !t.commit.Fits(sane(n.w.Capacity)) {
-			continue
-		}
+	c.clearable(t, func(n *node) bool {
 		list, price, ok := c.victims(n, t)
 		if ok && (found == nil || price < cost) {
 			found, victims, cost = n, list, price
 		}
-	}
+		return found == nil
+	})
 	if found == nil {
 		return false
 	}
@@ -52,6 +45,22 @@
 	return true
 }
 
+// clearable calls f for workers that may make room for t: for maxCleared of
+// them, and for more as long as f returns true.
+func (c *cycle) clearable(t *candidate, f func(*node) bool) {
+	start := int(startOf(t.p.Task) % uint64(max(len(c.nodes), 1)))
+	more := true
+	for i := range c.nodes {
+		if i >= maxCleared && !more {
+			return
+		}
+		n := c.nodes[(start+i)%len(c.nodes)]
+		if n.open() && !n.busy && t.commit.Fits(sane(n.w.Capacity)) {
+			more = f(n)
+		}
+	}
+}
+
 // awaitRoom reports whether runs that are stopping already make room for t.
 func (c *cycle) awaitRoom(t *candidate) bool {
 	for _, n := range c.nodes {
--- a/internal/placement/respond.go
+++ b/internal/placement/respond.go
@@ -15,9 +15,9 @@
 	actAbove  = 1.0
 	actTail   = 0.15
 	calmBelow = 0.7
-	// moveRise is added to the threshold for moves, times the share of evictions
-	// among the weights.
-	moveRise = 1.5
+	// moveRise is added to the threshold for moves, times the square of the share
+	// of evictions among the weights.
+	moveRise = 12
 	// aimAt is the latency over target that a step aims at.
 	aimAt = 0.8
 	// severe is the latency over target at which runs are moved at once.
@@ -75,6 +75,7 @@
 		}
 	}
 	if at < 0 {
+		c.releaseAlone(n)
 		return
 	}
 	if worst >= c.threshold() {
@@ -87,6 +88,16 @@
 	}
 }
 
+// releaseAlone releases runs of a worker that has no service.
+func (c *cycle) releaseAlone(n *node) {
+	for _, r := range n.w.Runs {
+		if r.Spec.Kind == job.Service {
+			return
+		}
+	}
+	c.release(n)
+}
+
 // exposure returns the exposure of a service run on a prepared node, or nil.
 func (n *node) exposure(r *Run) *exposure {
 	for i := range n.services {
@@ -124,7 +135,9 @@
 
 // moveAbove is the latency over target above which runs are moved: the weight
 // of evictions raises it.
-func (c *cycle) moveAbove() float64 { return c.threshold() + moveRise*evictionShare(&c.v.Config) }
+func (c *cycle) moveAbove() float64 {
+	return c.threshold() + moveRise*evictionShare(&c.v.Config)*evictionShare(&c.v.Config)
+}
 
 // throttle returns what is left of the excess.
 func (c *cycle) throttle(n *node, list []blame, excess, ratio float64) float64 {
@@ -135,8 +148,7 @@
 		if b.run.Throttled {
 			continue
 		}
-		commit := sane(b.run.Commit)
-		commit.MilliCPU = max(minMilliCPU, int64(throttleTo*float64(commit.MilliCPU)))
+		commit := throttled(b.run)
 		if commit.MilliCPU >= b.run.Commit.MilliCPU {
 			continue
 		}
