--- a/internal/shard/matrix_test.go
+++ b/internal/shard/matrix_test.go
@@ -230,8 +230,8 @@
 	if t := o.Totals(); t.Admitted != 10 || t.Finished+t.Cancelled != 8 {
 		out = append(out, fmt.Sprintf("totals: %+v", t))
 	}
-	c.gate.kill()
 	c.w.close()
+	out = append(out, c.w.replays(o)...)
 	return append(out, c.w.audit(expect...)...)
 }
 
--- a/internal/shard/random_test.go
+++ b/internal/shard/random_test.go
@@ -239,9 +239,7 @@
 	if t := o.Totals(); t.Finished+t.Cancelled != int64(5*p.jobs) {
 		out = append(out, fmt.Sprintf("totals: %+v", t))
 	}
-	for _, g := range p.gates {
-		g.kill()
-	}
 	p.w.close()
+	out = append(out, p.w.replays(o)...)
 	return append(out, p.w.audit(expect...)...)
 }
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -12,11 +12,13 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/text"
+	"github.com/google/go-cmp/cmp"
 
 	"skylarkport/internal/bundle"
 	"skylarkport/internal/contract"
 	"skylarkport/internal/history"
 	"skylarkport/internal/job"
+	"skylarkport/internal/journal"
 	"skylarkport/internal/platform"
 	"skylarkport/internal/resource"
 	"skylarkport/internal/settings"
@@ -228,6 +230,25 @@
 	return r
 }
 
+// replays checks that the journal rebuilds the state that the owner ended with.
+func (w *world) replays(o *Owner) []string {
+	l, replay, err := journal.Open(context.Background(), w.sys.Tables(elsewhere), w.sys.Objects(elsewhere), testShard, "auditor", journal.Options{})
+	if err != nil {
+		return []string{err.Error()}
+	}
+	defer l.Close()
+	again := &Owner{log: l, runs: map[job.RunID]*track{}, workers: map[string]*worker{}, tasks: map[job.TaskID]*wait{}}
+	if err := again.rebuild(replay); err != nil {
+		return []string{"replay: " + err.Error()}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if diff := cmp.Diff(string(o.durable.Encode()), string(again.durable.Encode())); diff != "" {
+		return []string{"the replayed state differs: " + diff}
+	}
+	return nil
+}
+
 func (w *world) mustAudit(expect ...history.Expect) {
 	w.t.Helper()
 	for _, s := range w.audit(expect...) {
