Tasks move between shards; old tasks are shown as such

Cause: a task that no worker of its shard could ever hold waited there although another shard had room; tasks dropped long after their end were shown as waiting.

--- a/internal/intake/gather.go
+++ b/internal/intake/gather.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"skylarkport/internal/contract"
 	"skylarkport/internal/job"
@@ -15,6 +16,11 @@
 
 const listPage = 500
 
+// intakeTime is the age after which a task that its shard's owner does not list
+// is no longer taken for one that is still in the inbox. It decides only what is
+// shown.
+const intakeTime = time.Minute
+
 // Backend is the operators' view of the whole deployment, from any scheduler.
 type Backend struct {
 	*Intake
@@ -150,6 +156,8 @@
 	switch {
 	case answered && row.Cancelled:
 		t.State = api.TaskCancelled
+	case answered && time.Since(time.UnixMilli(row.Submitted)) > intakeTime:
+		t.Reason = "the task ended long ago, and its details were dropped"
 	case answered:
 		t.State, t.Reason = api.TaskWaiting, "the shard has not taken the task in yet"
 	default:
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -14,6 +14,7 @@
 	"skylarkport/internal/contract"
 	"skylarkport/internal/feed"
 	"skylarkport/internal/intake"
+	"skylarkport/internal/job"
 	"skylarkport/internal/member"
 	"skylarkport/internal/result"
 	"skylarkport/internal/settings"
@@ -53,7 +54,8 @@
 	ext := func(name string) shard.Platform {
 		return shard.Platform{
 			Tables: p.Tables, Objects: p.Objects, Workers: p.Workers, Bundle: current,
-			Fleet: func() []contract.Instance { return s.fleet.Shard(name) },
+			Elsewhere: func(spec *job.Spec) (string, bool) { return s.fleet.Elsewhere(spec, name) },
+			Fleet:     func() []contract.Instance { return s.fleet.Shard(name) },
 		}
 	}
 	policy := func() shard.Policy { return shard.NewPolicy(placementOf(current())) }
--- a/internal/shard/applier.go
+++ b/internal/shard/applier.go
@@ -58,6 +58,9 @@
 		if t := o.st.Task(d.Task); t == nil || t.Phase != Waiting {
 			return nil, result.Errorf(result.JobUnknown, "%s does not wait", d.Task)
 		}
+		if d.Step == placement.SetAside && o.moveOut(d) {
+			return nil, nil
+		}
 		w := o.waitOf(d.Task)
 		w.reason, w.aside = d.Reason.Stage+": "+d.Reason.Detail, d.Step == placement.SetAside
 	}
--- a/internal/shard/config.go
+++ b/internal/shard/config.go
@@ -50,6 +50,9 @@
 	Workers contract.Workers
 	// Fleet returns the shard's workers by the platform's list.
 	Fleet func() []contract.Instance
+	// Elsewhere names another shard with a live worker that could hold a
+	// task of spec, where there is one. It may be nil.
+	Elsewhere func(spec *job.Spec) (shard string, ok bool)
 	// Bundle returns the configuration in force, or nil.
 	Bundle func() *bundle.Bundle
 }
--- a/internal/shard/fleet.go
+++ b/internal/shard/fleet.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"skylarkport/internal/contract"
+	"skylarkport/internal/job"
 )
 
 const (
@@ -73,3 +76,25 @@
 
 // Shard returns the workers of the named shard.
 func (f *Fleet) Shard(name string) []contract.Instance { return (*f.list.Load())[name] }
+
+// Elsewhere names a shard other than except, in the zones of spec, with a live
+// worker that could hold one of its tasks if it were empty.
+func (f *Fleet) Elsewhere(spec *job.Spec, except string) (string, bool) {
+	shards := *f.list.Load()
+	for _, name := range slices.Sorted(maps.Keys(shards)) {
+		if name != except && holdsAny(shards[name], spec) {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+func holdsAny(workers []contract.Instance, spec *job.Spec) bool {
+	for _, w := range workers {
+		allowed := len(spec.Zones) == 0 || slices.Contains(spec.Zones, w.Zone)
+		if allowed && w.State == contract.Live && spec.Needs.Fits(w.Capacity) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/shard/inbox.go
+++ b/internal/shard/inbox.go
@@ -116,21 +116,23 @@
 	for _, row := range cancels {
 		m, _ := DecodeMessage(row.Value) // was read above
 		var records []*Record
+		var forwarded []contract.Write
 		for _, id := range m.Cancel {
 			records = append(records, o.cancel(id)...)
+			forwarded = append(forwarded, o.forward(id)...)
 		}
-		o.take(row, records)
+		o.take(row, records, forwarded...)
 	}
 }
 
 // take proposes records together with the deletion of the row they came from.
-func (o *Owner) take(row contract.Row, records []*Record) {
+func (o *Owner) take(row contract.Row, records []*Record, extra ...contract.Write) {
 	o.taken[row.Key.Row] = false
 	drop := contract.Write{Key: row.Key, If: contract.IfVersion, Version: row.Version, Do: contract.Delete}
 	if len(records) == 0 {
 		records = []*Record{{Promise: &PromiseRecord{Length: o.st.Promise}}}
 	}
-	o.propose(records, []contract.Write{drop}, func() { o.taken[row.Key.Row] = true })
+	o.propose(records, append(extra, drop), func() { o.taken[row.Key.Row] = true })
 }
 
 // admit returns the records of new tasks or quota.
--- /dev/null
+++ b/internal/shard/move_test.go
@@ -0,0 +1,64 @@
+package shard
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"skylarkport/internal/contract"
+	"skylarkport/internal/history"
+	"skylarkport/internal/job"
+	"skylarkport/internal/settings"
+)
+
+// TestTaskMovesBetweenShards: a task that no worker of its shard could hold runs
+// in another shard, once, and its cancellation follows it there.
+func TestTaskMovesBetweenShards(t *testing.T) {
+	for _, cancelled := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 4, settings.Standin{})
+			half := func(large bool) Platform {
+				p := w.platform("a")
+				p.Fleet = func() []contract.Instance {
+					list := w.fleet()
+					if large {
+						return list[2:]
+					}
+					for i := range list[:2] {
+						list[i].Capacity.MemoryMB = 500
+					}
+					return list[:2]
+				}
+				return p
+			}
+			small, large := half(false), half(true)
+			small.Elsewhere = func(*job.Spec) (string, bool) { return Name(testZone, 1), true }
+			cfg := w.cfg
+			cfg.Owner = "a"
+			if _, err := w.openPolicy(cfg, small, NewPolicy(placementDefaults)); err != nil {
+				t.Fatal(err)
+			}
+			cfg.Shard, cfg.Owner = Name(testZone, 1), "b"
+			b, err := w.openPolicy(cfg, large, NewPolicy(placementDefaults))
+			if err != nil {
+				t.Fatal(err)
+			}
+			w.submit(batch("renewal", 3, 20*time.Second))
+			time.Sleep(10 * time.Second)
+			if got := w.states(b.o, "renewal"); got != "running=3" {
+				t.Errorf("in the other shard: %s, want running=3", got)
+			}
+			want, expect := "finished=3", history.Expect{Job: "renewal", Finished: 3}
+			if cancelled {
+				w.cancel("renewal")
+				want, expect.Finished = "cancelled=3", 0
+			}
+			time.Sleep(time.Minute)
+			if got := w.states(b.o, "renewal"); got != want {
+				t.Errorf("at the end: %s, want %s", got, want)
+			}
+			w.close()
+			w.mustAudit(expect)
+		})
+	}
+}
--- a/internal/shard/zone.go
+++ b/internal/shard/zone.go
@@ -150,7 +150,7 @@
 	z.wg.Go(func() {
 		defer stop()
 		if err := z.own(ctx, shard, h); err != nil {
-			z.logger.WithField("shard", shard).WithError(err).Warn("not owned any more")
+			z.report(shard, err)
 		}
 		z.mu.Lock()
 		delete(z.held, shard)
@@ -158,6 +158,17 @@
 	})
 }
 
+// report logs why a shard is not owned. While the tables are away that happens
+// at every attempt and is worth a debug line only.
+func (z *Zone) report(shard string, err error) {
+	l := z.logger.WithField("shard", shard).WithError(err)
+	if result.Of(err) == result.JournalAway {
+		l.Debug("not taken over")
+		return
+	}
+	l.Warn("not owned any more")
+}
+
 // own takes the shard over where its owner is gone, and works until it is lost
 // or handed over.
 func (z *Zone) own(ctx context.Context, shard string, h *holding) error {
