An entry keeps a slot of every worker when it lends; entries tested whole

Cause: an entry that lent all but an eighth of its seats could keep no slot of any worker, and then refused every request (TestShares: 16 requests got 503). Change: a lender keeps one seat of each remainder by eight; requests that are refused for want of any slot count as need, so that seats are borrowed and asked back. Tests: entries over connections in memory in virtual time: drain with a request in flight, shares of two entries and their move within a second, scheduler, table and list away for an hour, a bundle change in mid-request, a worker that leaves.

--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,461 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/oklog/run"
+
+	"skylarkport/internal/bundle"
+	"skylarkport/internal/contract"
+	"skylarkport/internal/feed"
+	"skylarkport/internal/job"
+	"skylarkport/internal/member"
+	"skylarkport/internal/obs"
+	"skylarkport/internal/result"
+	"skylarkport/internal/settings"
+)
+
+// pipes is a listener in memory.
+type pipes struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func newPipes() *pipes { return &pipes{conns: make(chan net.Conn), done: make(chan struct{})} }
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error {
+	p.once.Do(func() { close(p.done) })
+	return nil
+}
+
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1} }
+
+func (p *pipes) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	a, b := net.Pipe()
+	select {
+	case p.conns <- b:
+		return a, nil
+	case <-p.done:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// world is the tables, the list and the bundle of a test.
+type world struct {
+	mu     sync.Mutex
+	rows   map[contract.Key]contract.Row
+	list   []contract.Instance
+	down   bool
+	bundle atomic.Pointer[bundle.Bundle]
+}
+
+var errDown = &contract.CallError{Code: result.PlatformRefused}
+
+func (p *world) Read(_ context.Context, key contract.Key) (contract.Row, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return contract.Row{}, errDown
+	}
+	r, ok := p.rows[key]
+	if !ok {
+		return r, &contract.CallError{Code: result.PlatformNotFound}
+	}
+	return r, nil
+}
+
+func (p *world) Scan(context.Context, string, string, string, int) ([]contract.Row, error) {
+	return nil, nil
+}
+
+func (p *world) Commit(_ context.Context, writes []contract.Write) ([]uint64, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return nil, errDown
+	}
+	out := make([]uint64, len(writes))
+	for i, w := range writes {
+		r, ok := p.rows[w.Key]
+		if w.If == contract.IfAbsent && ok || w.If == contract.IfVersion && r.Version != w.Version {
+			return nil, &contract.CallError{Code: result.PlatformConflict}
+		}
+		out[i] = r.Version + 1
+		p.rows[w.Key] = contract.Row{Key: w.Key, Version: out[i], Value: w.Value}
+	}
+	return out, nil
+}
+
+func (p *world) List(context.Context) ([]contract.Instance, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return nil, errDown
+	}
+	return p.list, nil
+}
+
+func (p *world) Current() *bundle.Bundle { return p.bundle.Load() }
+
+// cluster is a zone's entries, a scheduler that publishes upstreams, and the
+// upstreams.
+type cluster struct {
+	t        *testing.T
+	platform *world
+	up       *pipes
+	server   *http.Server
+	mu       sync.Mutex
+	groups   map[string]*fakeGroup
+	silent   bool // the scheduler does not answer
+	list     feed.Shard
+	gate     chan struct{} // upstreams answer when it is closed
+	atWorker map[string]int
+	most     map[string]int
+	entries  []*running
+}
+
+// running is an entry of a cluster.
+type running struct {
+	*Entry
+	callers *pipes
+	client  *http.Client
+	stop    context.CancelFunc
+	done    chan error
+	metrics *obs.Metrics
+}
+
+type fakeGroup struct {
+	c        *cluster
+	id       string
+	handlers map[string]member.Handler
+}
+
+func (g *fakeGroup) Self() member.Peer { return g.c.peer(g.id) }
+
+func (c *cluster) peer(id string) member.Peer {
+	return member.Peer{ID: member.IDOf(id, member.Entry), Instance: id, Program: member.Entry, Zone: "de", State: member.Alive}
+}
+
+func (g *fakeGroup) View() *member.View {
+	g.c.mu.Lock()
+	defer g.c.mu.Unlock()
+	v := &member.View{Peers: []member.Peer{{ID: "s/scheduler", Instance: "s", Program: member.Scheduler, Zone: "de", State: member.Alive}}}
+	for id := range g.c.groups {
+		if id != g.id {
+			v.Peers = append(v.Peers, g.c.peer(id))
+		}
+	}
+	return v
+}
+
+func (g *fakeGroup) Changed() <-chan struct{}                              { return nil }
+func (g *fakeGroup) Handle(method string, h member.Handler)                { g.handlers[method] = h }
+func (g *fakeGroup) Attach(string, func() any)                             {}
+func (g *fakeGroup) OnAttached(string, func(member.Peer, json.RawMessage)) {}
+
+func (g *fakeGroup) Call(ctx context.Context, peerID, method string, params, reply any) error {
+	g.c.mu.Lock()
+	list, silent := g.c.list, g.c.silent
+	var to *fakeGroup
+	for id, other := range g.c.groups {
+		if member.IDOf(id, member.Entry) == peerID {
+			to = other
+		}
+	}
+	g.c.mu.Unlock()
+	if peerID == "s/scheduler" && !silent {
+		reply.(*feed.Reply).Shards = []feed.Shard{list}
+		return nil
+	}
+	if to == nil {
+		return result.Errorf(result.PeerAway, "%s", peerID)
+	}
+	b, _ := json.Marshal(params)
+	v, err := to.handlers[method](ctx, g.Self(), b)
+	if err != nil || reply == nil {
+		return err
+	}
+	b, _ = json.Marshal(v)
+	return json.Unmarshal(b, reply)
+}
+
+func newCluster(t *testing.T, workers int) *cluster {
+	c := &cluster{
+		t: t, platform: &world{rows: map[contract.Key]contract.Row{}}, up: newPipes(),
+		groups: map[string]*fakeGroup{}, atWorker: map[string]int{}, most: map[string]int{}, gate: make(chan struct{}),
+	}
+	c.platform.bundle.Store(&bundle.Bundle{Version: 1})
+	c.publish(1, workers)
+	c.server = &http.Server{Handler: http.HandlerFunc(c.upstream)}
+	go func() { _ = c.server.Serve(c.up) }()
+	return c
+}
+
+func (c *cluster) publish(change uint64, workers int) {
+	s := feed.Shard{Shard: "de/0", Version: feed.Version{Epoch: 1, Change: change}}
+	for i := range workers {
+		s.Upstreams = append(s.Upstreams, feed.Upstream{
+			Service: "stocfa", Run: job.RunID{Task: job.TaskID{Job: "stocfa", Index: i}, Attempt: 1},
+			Worker: "w" + strconv.Itoa(i), Zone: "de", BaseURL: "http://127.0.0.1:1/w" + strconv.Itoa(i), Slots: 8, Conns: 64,
+		})
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.list = s
+}
+
+// upstream counts the requests at each worker and answers at the gate.
+func (c *cluster) upstream(w http.ResponseWriter, r *http.Request) {
+	worker := r.URL.Path[1:3]
+	c.mu.Lock()
+	c.atWorker[worker]++
+	c.most[worker] = max(c.most[worker], c.atWorker[worker])
+	gate := c.gate
+	c.mu.Unlock()
+	select {
+	case <-gate:
+	case <-r.Context().Done():
+	}
+	c.mu.Lock()
+	c.atWorker[worker]--
+	c.mu.Unlock()
+	w.Header().Set(contract.HeaderRequestID, r.Header.Get(contract.HeaderRequestID))
+	_, _ = w.Write([]byte("in stock"))
+}
+
+// start adds an entry.
+func (c *cluster) start(id string) *running {
+	g := &fakeGroup{c: c, id: id, handlers: map[string]member.Handler{}}
+	cfg := &settings.Entry{Listen: "127.0.0.1:1", MaxHeaderBytes: 1 << 16, MaxInFlight: 1000, KeyRanges: 1}
+	cfg.Instance, cfg.Zone, cfg.Drain = id, "de", job.Duration(10*time.Second)
+	r := &running{callers: newPipes(), metrics: obs.NewMetrics("test_" + id), done: make(chan error, 1)}
+	r.Entry = New(cfg, Deps{
+		Group: g, Bundles: c.platform, Tables: c.platform, Instances: c.platform, Metrics: r.metrics,
+		Listener: r.callers, Dial: c.up.dial,
+	})
+	r.client = &http.Client{Transport: &http.Transport{DialContext: r.callers.dial}}
+	c.mu.Lock()
+	c.groups[id] = g
+	c.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	var all run.Group
+	r.Add(&all)
+	all.Add(func() error { <-ctx.Done(); return nil }, func(error) { cancel() })
+	go func() { r.done <- all.Run() }()
+	c.entries = append(c.entries, r)
+	return r
+}
+
+func (c *cluster) open() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.gate)
+}
+
+// end stops everything that is left.
+func (c *cluster) end() {
+	for _, r := range c.entries {
+		r.stop()
+	}
+	for _, r := range c.entries {
+		if err := <-r.done; err != nil {
+			c.t.Errorf("an entry ended with %v", err)
+		}
+		r.client.CloseIdleConnections()
+		for _, w := range r.Snapshot().Workers {
+			w.Transport.(*http.Transport).CloseIdleConnections()
+		}
+		_ = r.metrics.Close()
+	}
+	_ = c.server.Close()
+}
+
+// ask sends a request; the channel gets its status, or 0 where it broke.
+func (r *running) ask(path string) <-chan int {
+	got := make(chan int, 1)
+	go func() {
+		req, _ := http.NewRequest(http.MethodGet, "http://entry"+path, nil)
+		req.Header.Set("Skylark-Tenant", "dealer")
+		req.Header.Set("Skylark-Timeout-Ms", "20000")
+		resp, err := r.client.Do(req)
+		if err != nil {
+			got <- 0
+			return
+		}
+		defer resp.Body.Close()
+		if _, err := io.ReadAll(resp.Body); err != nil {
+			got <- 0
+			return
+		}
+		got <- resp.StatusCode
+	}()
+	return got
+}
+
+const settle = 5 * time.Second
+
+// TestDrain stops an entry with a request in flight.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1)
+		e := c.start("e1")
+		time.Sleep(settle)
+		if got := <-e.ask("/readyz"); got != http.StatusOK {
+			t.Fatalf("readyz %d before the drain", got)
+		}
+		inFlight := e.ask("/services/stocfa/bike/7")
+		synctest.Wait()
+		e.stop()
+		time.Sleep(balancerGrace / 2)
+		if got := <-e.ask("/readyz"); got != http.StatusServiceUnavailable {
+			t.Errorf("readyz %d in the drain", got)
+		}
+		late := e.ask("/services/stocfa/bike/8")
+		time.Sleep(2 * time.Second)
+		c.open()
+		if got := <-inFlight; got != http.StatusOK {
+			t.Errorf("the request in flight got %d", got)
+		}
+		if got := <-late; got != http.StatusOK {
+			t.Errorf("the request before the balancer left got %d", got)
+		}
+		c.end()
+	})
+}
+
+// TestShares joins a second entry, then loads one of them.
+func TestShares(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2)
+		a := c.start("a")
+		time.Sleep(settle)
+		b := c.start("b")
+		time.Sleep(settle)
+		for id, w := range a.Snapshot().Workers {
+			other := b.Snapshot().Workers[id]
+			if x, y := w.Slots.Limit(), other.Slots.Limit(); x != 4 || y != 4 {
+				t.Errorf("worker %s: %d and %d slots", id, x, y)
+			}
+		}
+		var waiting []<-chan int
+		for range 16 {
+			waiting = append(waiting, a.ask("/services/stocfa/bike/7"))
+		}
+		time.Sleep(time.Second)
+		if got := a.slots(); got < 12 {
+			t.Errorf("the loaded entry uses %d of 16 slots after a second", got)
+		}
+		for range 16 {
+			waiting = append(waiting, b.ask("/services/stocfa/bike/8"))
+		}
+		time.Sleep(time.Second)
+		c.open()
+		for _, w := range waiting {
+			if got := <-w; got != http.StatusOK {
+				t.Errorf("status %d", got)
+			}
+		}
+		for worker, n := range c.most {
+			if n > 8 {
+				t.Errorf("worker %s held %d requests", worker, n)
+			}
+		}
+		c.end()
+	})
+}
+
+func (r *running) slots() int {
+	n := 0
+	for _, w := range r.Snapshot().Workers {
+		n += w.Slots.Used()
+	}
+	return n
+}
+
+// TestSourcesAway takes the scheduler, the table and the list away: requests go
+// on by what is known.
+func TestSourcesAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1)
+		e := c.start("e1")
+		c.open()
+		time.Sleep(settle)
+		c.mu.Lock()
+		c.silent = true
+		c.mu.Unlock()
+		c.platform.mu.Lock()
+		c.platform.down = true
+		c.platform.mu.Unlock()
+		time.Sleep(time.Hour)
+		if got := <-e.ask("/services/stocfa/bike/7"); got != http.StatusOK {
+			t.Errorf("status %d after an hour without the platform", got)
+		}
+		c.end()
+	})
+}
+
+// TestBundleMidRequest changes the bundle while a request is in flight.
+func TestBundleMidRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1)
+		e := c.start("e1")
+		time.Sleep(settle)
+		inFlight := e.ask("/services/stocfa/bike/7")
+		synctest.Wait()
+		c.platform.bundle.Store(&bundle.Bundle{Version: 2, Tenants: []bundle.Tenant{{Name: "another", Weight: 1}}})
+		c.open()
+		if got := <-inFlight; got != http.StatusOK {
+			t.Errorf("the request in flight got %d", got)
+		}
+		if got, want := <-e.ask("/services/stocfa/bike/7"), result.TenantUnknown.Info().Status; got != want {
+			t.Errorf("status %d under the new bundle, want %d", got, want)
+		}
+		c.end()
+	})
+}
+
+// TestLeaving marks the only worker as leaving in the platform's list.
+func TestLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1)
+		e := c.start("e1")
+		time.Sleep(settle)
+		inFlight := e.ask("/services/stocfa/bike/7")
+		synctest.Wait()
+		c.platform.mu.Lock()
+		c.platform.list = []contract.Instance{{ID: "w0", Role: contract.WorkerRole, State: contract.Leaving}}
+		c.platform.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		if got := <-e.ask("/services/stocfa/bike/8"); got != http.StatusServiceUnavailable {
+			t.Errorf("status %d from a worker that has been leaving for 3 s", got)
+		}
+		c.open()
+		if got := <-inFlight; got != http.StatusOK {
+			t.Errorf("the request in flight got %d", got)
+		}
+		c.end()
+	})
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -84,6 +84,10 @@
 // Waiting returns the number of requests that wait for a slot.
 func (h *Handler) Waiting() int { return h.services.waiting() }
 
+// Pressed reports whether requests wait for slots, or were refused for want of
+// any.
+func (h *Handler) Pressed() bool { return h.Waiting() > 0 || h.services.starved(h.now()) }
+
 // InFlight returns the number of requests not answered yet.
 func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
 
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -17,6 +17,7 @@
 	initialHeld  = 10 * time.Millisecond // before the first answer
 	heldWeight   = 16                    // a sample moves the mean by one part in this many
 	slotsEvery   = 20 * time.Millisecond // between two counts of the slots
+	starvedFor   = time.Second           // after the last sight of it
 	reservedPart = 8                     // one slot in this many is kept from batch requests
 )
 
@@ -33,6 +34,7 @@
 	batch   atomic.Int32 // batch requests at upstreams
 	slots   atomic.Int32 // counted at counted
 	counted atomic.Int64
+	starved atomic.Int64 // when upstreams were last found without a slot of this entry, nanoseconds
 }
 
 // Take implements admission.Source.
@@ -97,7 +99,10 @@
 	if last != 0 && int64(now)-last < int64(slotsEvery) {
 		return int(s.slots.Load())
 	}
-	_, slots := set.Usable(now)
+	upstreams, slots := set.Usable(now)
+	if upstreams > 0 && slots == 0 {
+		s.starved.Store(int64(now))
+	}
 	s.slots.Store(int32(slots))
 	s.counted.Store(int64(now))
 	return slots
@@ -178,6 +183,18 @@
 	}
 }
 
+// starved reports whether a service was lately found without any slot.
+func (s *services) starved(now time.Duration) bool {
+	if m := s.all.Load(); m != nil {
+		for _, v := range *m {
+			if at := v.starved.Load(); at != 0 && now-time.Duration(at) < starvedFor {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // waiting returns the number of requests that wait for a slot.
 func (s *services) waiting() int {
 	n := 0
--- a/internal/share/holder.go
+++ b/internal/share/holder.go
@@ -17,7 +17,8 @@
 	Drift = LoanTime / 100
 	// RenewEvery is how often a borrower renews what it holds.
 	RenewEvery = 5 * time.Second
-	// keepPart is the part of its own seats that a lender keeps.
+	// keepPart is the number of seats that a lender keeps where it can, one of
+	// each remainder, so that it keeps a slot of every worker of eight slots.
 	keepPart = 8
 )
 
--- a/internal/share/holder_test.go
+++ b/internal/share/holder_test.go
@@ -19,8 +19,8 @@
 	d.join("c")
 	h.Wrote(0, d, 1)
 	h.Asking()
-	h.Borrowed(0, 0, "a", Loan{ID: 9, Seats: 3})
-	if got := h.Usable(0); got != 3 {
+	h.Borrowed(0, 0, "a", Loan{ID: 9, Seats: 0x300})
+	if got := h.Usable(0); got != 0x300 {
 		t.Fatalf("usable = %x, want the borrowed seats", got)
 	}
 	d.remove("a", false)
@@ -28,7 +28,7 @@
 	h.Read(time.Second, d, 2)
 	h.Cleared(time.Second, map[string]Seats{})
 	lent := h.Lend(time.Second, "c", SeatCount).Seats
-	if lent&3 != 3 {
+	if lent&0x300 != 0x300 {
 		t.Fatalf("lent %x, want the two seats among them", lent)
 	}
 	if both := lent & h.Usable(time.Second); both != 0 {
--- a/internal/share/loan.go
+++ b/internal/share/loan.go
@@ -17,9 +17,9 @@
 		return Loan{}
 	}
 	free := h.free(now)
-	keep := (h.row.Of(h.self).Len() + keepPart - 1) / keepPart
-	for n := min(want, free.Len()-keep); n > 0; n /= 2 {
-		s := free.First(n)
+	spare := free &^ free.kept()
+	for n := min(want, spare.Len()); n > 0; n /= 2 {
+		s := spare.First(n)
 		if !h.shrink(now, s) {
 			continue
 		}
--- a/internal/share/seats.go
+++ b/internal/share/seats.go
@@ -38,6 +38,19 @@
 	return s &^ rest
 }
 
+// kept returns the lowest seat of s for each remainder by keepPart.
+func (s Seats) kept() Seats {
+	var out Seats
+	var have [keepPart]bool
+	s.each(func(i int) {
+		if !have[i%keepPart] {
+			have[i%keepPart] = true
+			out |= 1 << i
+		}
+	})
+	return out
+}
+
 // Part returns how many of the total units of a worker belong to the seats s.
 // Unit q of a worker belongs to seat q*SeatCount/total, turned by a hash of the
 // worker, so that every set of seats has a part of most workers.
--- a/internal/share/steps_test.go
+++ b/internal/share/steps_test.go
@@ -162,6 +162,11 @@
 		if got := a.Usable(0).Len(); got != SeatCount/keepPart || l.Seats.Len() != SeatCount-got {
 			t.Errorf("kept %d, lent %d", got, l.Seats.Len())
 		}
+		for _, worker := range []string{"w1", "w2", "w3", "w4", "w5"} {
+			if got := a.Usable(0).Part(worker, 8); got != 1 {
+				t.Errorf("kept %d slots of worker %s", got, worker)
+			}
+		}
 	})
 }
 
