--- a/internal/bundle/keeper.go
+++ b/internal/bundle/keeper.go
@@ -22,7 +22,7 @@
 const (
 	pollInterval = time.Second     // between readings of the current row, alone
 	pollShare    = time.Second / 2 // between readings of a zone's processes, together
-	pollLimit    = 6 * time.Second // between readings of one process among many
+	pollLimit    = 4 * time.Second // between readings of one process among many
 	pollTimeout  = 2 * time.Second // of one reading
 	maxPollPause = 5 * time.Second // between readings while the table is away
 	fetchTimeout = 3 * time.Second // of one fetch of a body
--- a/internal/bundle/world_test.go
+++ b/internal/bundle/world_test.go
@@ -179,6 +179,17 @@
 	}
 }
 
+// behind counts the instances whose version is lower.
+func (w *world) behind(version uint64) int {
+	n := 0
+	for _, i := range w.instances {
+		if i.Head().Version < version {
+			n++
+		}
+	}
+	return n
+}
+
 // wantRising fails where a version went down on an instance.
 func (w *world) wantRising() {
 	w.t.Helper()
