Shares: a list that may be wrong proves no instance gone

Cause: an entry missing from the platform's list for a minute lost its seats also while its heartbeats arrived. Change: a list without the reader itself, and the absence of a member that is heard, prove nothing. Tests: a member dropped and silent, silent but listed, dropped but heard, a list without the reader.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -459,3 +459,47 @@
 		c.end()
 	})
 }
+
+// TestGoneMember drops an entry from the list, with and without proof.
+func TestGoneMember(t *testing.T) {
+	instance := func(id string) contract.Instance {
+		return contract.Instance{ID: id, Role: contract.EntryRole, State: contract.Live, Zone: "de"}
+	}
+	tests := []struct {
+		name  string
+		heard bool // the member's heartbeats still arrive
+		list  []contract.Instance
+		want  int // slots of the only worker at the entry that stays, after two minutes
+	}{
+		{"dropped and silent", false, []contract.Instance{instance("a")}, 8},
+		{"silent but listed", false, []contract.Instance{instance("a"), instance("b")}, 4},
+		{"dropped but heard", true, []contract.Instance{instance("a")}, 4},
+		{"a list without the reader", false, []contract.Instance{instance("c")}, 4},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 1)
+				c.platform.list = []contract.Instance{instance("a"), instance("b")}
+				a := c.start("a")
+				time.Sleep(settle)
+				c.start("b")
+				time.Sleep(settle)
+				c.platform.mu.Lock()
+				c.platform.list = tt.list
+				c.platform.mu.Unlock()
+				if !tt.heard {
+					c.mu.Lock()
+					delete(c.groups, "b")
+					c.mu.Unlock()
+				}
+				time.Sleep(2 * time.Minute)
+				if got := a.Snapshot().Workers["w0"].Slots.Limit(); got != tt.want {
+					t.Errorf("%d slots, want %d", got, tt.want)
+				}
+				c.open()
+				c.end()
+			})
+		})
+	}
+}
--- a/internal/entry/sharerow.go
+++ b/internal/entry/sharerow.go
@@ -64,13 +64,15 @@
 }
 
 // gone returns the members whose instances the platform's list has dropped: it
-// held them before, or had the time to.
+// held them before, or had the time to. A list without this entry, and one
+// without a member that is heard, proves nothing.
 func (s *sharing) gone(now time.Duration) []string {
 	l := s.list.Load()
 	row, _, known := s.holder.Row()
-	if l == nil || !known || now-l.at > 2*listEvery {
+	if l == nil || !known || now-l.at > 2*listEvery || !l.entries[s.entry.cfg.Instance] {
 		return nil
 	}
+	heard := s.heard()
 	var out []string
 	for _, m := range row.Members {
 		if _, ok := s.since[m]; !ok {
@@ -80,6 +82,9 @@
 			s.seen[m] = true
 			continue
 		}
+		if heard[m] {
+			continue
+		}
 		if s.seen[m] || now-s.since[m] > listLag {
 			out = append(out, m)
 		}
@@ -87,6 +92,17 @@
 	return out
 }
 
+// heard returns the instances whose entries are not known to be dead.
+func (s *sharing) heard() map[string]bool {
+	out := make(map[string]bool)
+	for _, p := range s.entry.deps.Group.View().Peers {
+		if p.Program == member.Entry && p.State != member.Dead {
+			out[p.Instance] = true
+		}
+	}
+	return out
+}
+
 // clear asks every member what it still borrows of the seats that this entry
 // got without a proof that they are free.
 func (s *sharing) clear(ctx context.Context) {
