Quotas of the first bundle are in force

Cause: the first bundle of a deployment has version 0, which the owner took for no bundle, so that its quotas and a changed policy were not put in force. Change: the owner counts 1 + version; the quota test runs on version 0. Figures: the test fails before the change and passes after it. Conclusion: found by a run of the real programs.

--- a/internal/shard/cycle.go
+++ b/internal/shard/cycle.go
@@ -53,12 +53,12 @@
 	if o.ext.Bundle == nil {
 		return
 	}
-	if b := o.ext.Bundle(); b != nil && b.Version != o.bundle {
-		o.bundle = b.Version
+	if b := o.ext.Bundle(); b != nil && b.Version+1 != o.bundle {
+		o.bundle = b.Version + 1
 		o.policy.Configure(b.Placement)
 		o.mu.Lock()
 		defer o.mu.Unlock()
-		o.quotas = b.Version
+		o.quotas = b.Version + 1
 		o.limit(b)
 	}
 }
--- a/internal/shard/escrow.go
+++ b/internal/shard/escrow.go
@@ -23,7 +23,7 @@
 
 // quotaRow is a tenant's row. Free may be negative after a quota was lowered.
 type quotaRow struct {
-	Bundle uint64          `json:"bundle"` // version that Quota comes from
+	Bundle uint64          `json:"bundle"` // 1 + version that Quota comes from
 	Quota  resource.Vector `json:"quota"`
 	Free   resource.Vector `json:"free"`
 }
--- a/internal/shard/escrow_test.go
+++ b/internal/shard/escrow_test.go
@@ -29,7 +29,8 @@
 		{"tables slow", &standin.Fault{Kind: standin.Slow, Target: "tables", Delay: job.Duration(700 * time.Millisecond), For: job.Duration(time.Minute)}},
 	}
 	quota := resource.Vector{MilliCPU: 4000, MemoryMB: 4000}
-	conf := &bundle.Bundle{Version: 1, Tenants: []bundle.Tenant{{Name: "kizuna", Weight: 1, Quota: quota}}}
+	// The first bundle of a deployment has version 0.
+	conf := &bundle.Bundle{Version: 0, Tenants: []bundle.Tenant{{Name: "kizuna", Weight: 1, Quota: quota}}}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -25,7 +25,7 @@
 	logger log.Interface
 	start  time.Time
 	kicked chan struct{} // the inbox has news
-	bundle uint64        // version of the bundle in force; only cycle uses it
+	bundle uint64        // 1 + version of the bundle in force, 0 for none; only cycle uses it
 
 	unread unread
 
@@ -47,8 +47,8 @@
 	tasks    map[job.TaskID]*wait
 	taken    map[string]bool // inbox rows that were consumed; true once that is durable
 	events   ring
-	// accounts holds the tenants with a quota; quotas is the version of the
-	// bundle that it comes from.
+	// accounts holds the tenants with a quota; quotas is 1 + the version of
+	// the bundle that it comes from, 0 for none.
 	accounts map[string]*account
 	quotas   uint64
 	routes   feed.Version
