HTTP/2 in clear towards the platform and the workers, by setting

Cause: headers are more than half of the bytes of an exchange. Change: platform.http2 lets the client speak HTTP/2 without an upgrade, whose header compression sends repeated headers once; the stand-in takes both; the contract tests run in memory, over HTTP/1.1 and over HTTP/2. Conclusion: kept as a setting, off where the platform does not speak it.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -81,6 +81,10 @@
 		MaxIdleConnsPerHost: idleConnsPerHost,
 		IdleConnTimeout:     idleTimeout,
 	}
+	if cfg.HTTP2 {
+		transport.Protocols = new(http.Protocols)
+		transport.Protocols.SetUnencryptedHTTP2(true)
+	}
 	c.http = &http.Client{Transport: transport}
 	return c
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,6 +28,9 @@
 	Objects   string       `json:"objects"`   // URL by IP number
 	Instances string       `json:"instances"` // URL by IP number
 	Timeout   job.Duration `json:"timeout"`   // of one call
+	// HTTP2 says that the services and the workers speak HTTP/2 in clear
+	// without an upgrade, which compresses the headers of small calls.
+	HTTP2 bool `json:"http2,omitempty"`
 }
 
 // TLS names the files of the keys. They are read again when they change.
--- a/internal/standin/contract_test.go
+++ b/internal/standin/contract_test.go
@@ -34,13 +34,15 @@
 }
 
 // overHTTP returns a client of sys over real HTTP on loopback.
-func overHTTP(t *testing.T, sys *System) *platform.Client {
+func overHTTP(t *testing.T, sys *System, http2 bool) *platform.Client {
 	t.Helper()
-	srv := httptest.NewServer(sys.Handler())
+	srv := httptest.NewUnstartedServer(sys.Handler())
+	srv.Config.Protocols = bothProtocols()
+	srv.Start()
 	t.Cleanup(srv.Close)
 	c := platform.New(settings.Platform{
 		Tables: srv.URL, Objects: srv.URL, Instances: srv.URL,
-		Timeout: job.Duration(time.Minute),
+		Timeout: job.Duration(time.Minute), HTTP2: http2,
 	}, from)
 	t.Cleanup(c.Close)
 	return c
@@ -53,11 +55,13 @@
 		sys := New(cfg)
 		f(t, sys, sys.Tables(from), sys.Objects(from), sys.Instances(from))
 	})
-	t.Run("http", func(t *testing.T) {
-		sys := New(cfg)
-		c := overHTTP(t, sys)
-		f(t, sys, c.Tables(), c.Objects(), c.Instances())
-	})
+	for name, http2 := range map[string]bool{"http": false, "http2": true} {
+		t.Run(name, func(t *testing.T) {
+			sys := New(cfg)
+			c := overHTTP(t, sys, http2)
+			f(t, sys, c.Tables(), c.Objects(), c.Instances())
+		})
+	}
 }
 
 func key(row string) contract.Key { return contract.Key{Table: "t", Row: row} }
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -229,7 +229,7 @@
 			return err
 		}
 	}
-	srv := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: s.cfg.CallTimeout.D()}
+	srv := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: s.cfg.CallTimeout.D(), Protocols: bothProtocols()}
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
 	defer s.powerOff()
@@ -286,12 +286,24 @@
 	return on()
 }
 
+// bothProtocols lets a client choose HTTP/1.1 or HTTP/2 in clear.
+func bothProtocols() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
+// listen serves h. Connections that are counted carry one request at a time.
 func listen(addr string, h http.Handler, state func(net.Conn, http.ConnState)) (*http.Server, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, result.Wrap(result.SettingsAddress, err, "listen")
 	}
 	srv := &http.Server{Handler: h, ConnState: state}
+	if state == nil {
+		srv.Protocols = bothProtocols()
+	}
 	go func() { _ = srv.Serve(l) }()
 	return srv, nil
 }
--- a/test/chaos/cluster_test.go
+++ b/test/chaos/cluster_test.go
@@ -148,7 +148,7 @@
 	}
 	return settings.Common{
 		Deployment: "chaos", Instance: n.id, Zone: n.zone, Zones: names,
-		Platform:  settings.Platform{Tables: url, Objects: url, Instances: url, Timeout: seconds(1)},
+		Platform:  settings.Platform{Tables: url, Objects: url, Instances: url, Timeout: seconds(1), HTTP2: true},
 		Heartbeat: job.Duration(c.shape.heartbeat), Drain: seconds(10),
 		Log: settings.Log{Format: "text", Level: "info"}, BundleFile: first,
 	}
