--- a/internal/history/requests.go
+++ b/internal/history/requests.go
@@ -90,7 +90,7 @@
 	for _, call := range c.in.Calls {
 		run, did := ran[call.RequestID]
 		if call.NotRun && did {
-			c.add(NotRunHonest, "%s was refused as not run (%d) and ran on %s", call.RequestID, call.Code, run)
+			c.add(NotRunHonest, "%s was refused as not run (%d) and ran on %s: %s", call.RequestID, call.Code, run, c.story(call))
 		}
 		if call.Code != result.OK || call.Broken {
 			continue
