The demonstration notices an occupied port

Cause: a second stand-in on the same ports let the demonstration run against somebody else's platform. Change: it fails at once where its own stand-in ended. Before: a run that mixed two deployments ended with ok. After: it fails.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -56,7 +56,9 @@
 
 echo "== start the stand-in, four schedulers and four entries"
 start standin bin/skylark-standin run -settings examples/dev/standin.json
+standin=$last
 until_ok "the stand-in" curl -fs $STANDIN/admin/totals
+kill -0 "$standin" 2>/dev/null || fail "the stand-in ended; is another one running?"
 for n in 1 2 3 4; do
 	start "scheduler-$n" bin/skylark-scheduler run -settings examples/dev/scheduler-$n.json
 	[ $n != 1 ] || victim=$last
