A break in an answer is visible: its head is sent before the connection ends

Cause: chaos case answers-broken-keys-retried showed a request refused as not run (1305) that had run. A small answer that broke off mid-body was still in the server's buffer when the connection was ended, so the caller saw a used connection end without a byte, and its HTTP library sent the GET again by itself. The copy met a full queue and was refused, truthfully for itself; the first had run. Ruled out: the count of writes that proves a request unsent, the seal of a connection, retries of the transport, and the answer of another zone's entry. Change: the head and what there is of the body are flushed before the break. Conclusion: the caller sees a broken answer and decides itself whether to ask again.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -140,12 +140,14 @@
 	head(w, c, a.resp, a.hop)
 	err := stream(w, c, a.resp)
 	a.finish(err)
-	h.end(c, err)
+	h.end(w, c, err)
 }
 
 // end records how a streamed answer ended. A broken one ends the caller's
-// connection, so that it cannot be taken for whole.
-func (h *Handler) end(c *call, err error) {
+// connection, so that it cannot be taken for whole. Its head is sent before
+// that: a caller's HTTP library that sees a used connection end without a byte
+// sends the request again by itself.
+func (h *Handler) end(w http.ResponseWriter, c *call, err error) {
 	switch {
 	case err == nil:
 		h.done(c, result.OK)
@@ -154,6 +156,7 @@
 		h.done(c, result.CallerGone)
 	default:
 		h.done(c, result.UpstreamBroken)
+		_ = http.NewResponseController(w).Flush()
 	}
 	panic(http.ErrAbortHandler)
 }
