An entry without slots lets requests wait for the second in which shares move

An entry that has lent or lost its slots expected an endless wait. Change: without slots the expected wait is that of a share to move: what has a second left waits, what has less is refused at once.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +42,9 @@
 	// caution multiplies the expected wait before it is held against the
 	// deadline, because later requests of other tenants may go first.
 	caution = 4
+	// slotsMove is the expected time until an entry without slots gets some;
+	// with caution it is the second within which idle shares move.
+	slotsMove = 250 * time.Millisecond
 	// leastRate is the least part of all slots' rate that a class is taken
 	// to get.
 	leastRate = 0.02
@@ -184,7 +186,7 @@
 	i := classIndex(t.Class)
 	held, slots := q.source.Pace()
 	if slots == 0 {
-		return time.Duration(math.MaxInt64 / 4)
+		return slotsMove
 	}
 	turns := float64(own+1) / float64(t.Weight)
 	before := float64(q.ahead(i) - c.count + own + 1)
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -33,7 +33,11 @@
 	return 1, result.OK
 }
 
-func (s *slots) Pace() (time.Duration, int) { return s.held, s.total }
+func (s *slots) Pace() (time.Duration, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held, s.total
+}
 
 func (s *slots) put() {
 	s.mu.Lock()
