--- a/internal/settings/examples_test.go
+++ b/internal/settings/examples_test.go
@@ -115,3 +115,18 @@
 		t.Error(err)
 	}
 }
+
+// TestDevelopmentExample checks the settings of the demonstration.
+func TestDevelopmentExample(t *testing.T) {
+	dir := filepath.Join(examples, "dev")
+	if _, err := LoadStandin(filepath.Join(dir, "standin.json")); err != nil {
+		t.Error(err)
+	}
+	d := deployment{name: "dev"}
+	if n := len(loadAll(t, d, "entry-*.json", LoadEntry)); n != 4 {
+		t.Errorf("%d entries, want 4", n)
+	}
+	if n := len(loadAll(t, d, "scheduler-*.json", LoadScheduler)); n != 4 {
+		t.Errorf("%d schedulers, want 4", n)
+	}
+}
