Test of a closed other zone: idle connections are closed first

After the other zone's entry closed, the request was written on a connection whose end the client had not noticed; then 1309 is the honest result. Change: the test closes the idle connections, so that the entry must connect and the refusal proves that nothing was sent; the expectation stays. Conclusion: the product was right.

--- a/internal/forward/zone_test.go
+++ b/internal/forward/zone_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/url"
 	"sync/atomic"
 	"testing"
@@ -80,5 +81,8 @@
 	there.up.set(faults["dies after effect"](there.up))
 	checkCell(t, here.do(context.Background(), request("post")), result.OutcomeUnknown, false)
 	there.entry.Close()
+	// On a connection that was used and whose end is not noticed yet the
+	// request is written, and its outcome is not known.
+	here.handler.zones.(*http.Transport).CloseIdleConnections()
 	checkCell(t, here.do(context.Background(), request("post")), result.NoUpstream, true)
 }
