Stand-in: a dead worker takes no message that was let in before its death

The stand-in looked whether the worker is alive, and applied the message later without looking again; a start in between ran for ever on the dead worker, so that the new attempt overlapped it. The owner had waited for the lapse. Change: an exchange looks again under the worker's lock. Before: TestDeathUnderAnExchange started a run on a dead worker. Conclusion: a fault of the stand-in, not of the leases.

--- /dev/null
+++ b/internal/standin/dead_test.go
@@ -0,0 +1,27 @@
+package standin
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"skylarkport/internal/contract"
+	"skylarkport/internal/job"
+	"skylarkport/internal/result"
+)
+
+// TestDeathUnderAnExchange lets the worker die after a message was let in and
+// before it takes effect: the message must start nothing.
+func TestDeathUnderAnExchange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOwner(t, testSettings())
+		w := o.sys.workers[0]
+		run := job.RunID{Task: job.TaskID{Job: "renewal"}, Attempt: 1}
+		req := o.granted(contract.ExchangeRequest{Start: []contract.StartOrder{{Run: run, Kind: job.Watch}}})
+		w.kill()
+		_, err := w.exchange(req)
+		wantError(t, err, result.WorkerAway, contract.Refused)
+		if n := o.sys.History().Totals.RunsStarted; n != 0 {
+			t.Errorf("%d runs started on a dead worker", n)
+		}
+	})
+}
--- a/internal/standin/exchange.go
+++ b/internal/standin/exchange.go
@@ -24,6 +24,9 @@
 func (w *worker) exchange(req contract.ExchangeRequest) (contract.ExchangeReply, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.dead { // since the message was let in
+		return contract.ExchangeReply{}, refused(result.WorkerAway, w.inst.ID+" is dead")
+	}
 	arrived := w.clock()
 	w.settleLocked()
 	w.sys.hist.count(func(t *history.Totals) { t.Exchanges++ })
