--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -90,7 +90,7 @@
 echo "== send requests"
 start load-latency bin/skylark-load -entries $ENTRIES -service confirm -tenant teiki -class latency -count 6000 -concurrency 8 -pause 15ms -least 0.95
 latency=$last
-start load-keyed bin/skylark-load -entries $ENTRIES -service confirm -tenant teiki -class latency -count 1200 -concurrency 4 -pause 30ms -keyed -seed 2 -least 0.95
+start load-keyed bin/skylark-load -entries $ENTRIES -service confirm -tenant teiki -class latency -count 400 -concurrency 4 -pause 30ms -keyed -seed 2 -least 0.95
 keyed=$last
 start load-batch bin/skylark-load -entries $ENTRIES -service confirm -tenant teiki -class batch -count 2000 -concurrency 4 -pause 15ms -seed 3
 batch=$last
