One wait that a context ends

Change: package pause; the four call it. The waits of shard (a third way to end) and of the stand-in and the bundles (an error in place of a bool) stay. Lint and the race tests of the five packages that use it pass. Conclusion: behaviour is as before.

--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -8,6 +8,7 @@
 	"skylarkport/internal/contract"
 	"skylarkport/internal/feed"
 	"skylarkport/internal/member"
+	"skylarkport/internal/pause"
 )
 
 // pollFeeds asks the zone's schedulers for their lists. Where none answers, the
@@ -22,7 +23,7 @@
 			return
 		case <-t.C:
 		case <-e.deps.Group.Changed():
-			pause(ctx, feedEvery/10)
+			pause.For(ctx, feedEvery/10)
 		}
 	}
 }
@@ -80,12 +81,3 @@
 	e.table.SetLeaving(leaving)
 	e.shares.listed(list)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/oklog/run"
 
+	"skylarkport/internal/pause"
 	"skylarkport/internal/result"
 )
 
@@ -98,7 +99,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.Drain.D())
 	defer cancel()
-	pause(ctx, min(balancerGrace, e.cfg.Drain.D()/4))
+	pause.For(ctx, min(balancerGrace, e.cfg.Drain.D()/4))
 	if err := s.Shutdown(ctx); err != nil {
 		logger.WithError(err).WithField("in_flight", e.handler.InFlight()).Warn("requests cut off by the drain limit")
 		_ = s.Close()
--- a/internal/intake/cancel.go
+++ b/internal/intake/cancel.go
@@ -9,6 +9,7 @@
 
 	"skylarkport/internal/contract"
 	"skylarkport/internal/operator/api"
+	"skylarkport/internal/pause"
 	"skylarkport/internal/result"
 	"skylarkport/internal/shard"
 )
@@ -44,7 +45,7 @@
 		}
 		// A conflict or a lost answer: read again. Repeating is safe.
 		markAll(errs, ids, result.Wrap(result.JobNotStored, err, "cancel"))
-		if !pause(ctx, retryPause) {
+		if !pause.For(ctx, retryPause) {
 			break
 		}
 	}
--- a/internal/intake/submit.go
+++ b/internal/intake/submit.go
@@ -10,6 +10,7 @@
 
 	"skylarkport/internal/contract"
 	"skylarkport/internal/job"
+	"skylarkport/internal/pause"
 	"skylarkport/internal/result"
 	"skylarkport/internal/shard"
 )
@@ -88,7 +89,7 @@
 				return compare(row, stored)
 			}
 		}
-		if !pause(ctx, retryPause) {
+		if !pause.For(ctx, retryPause) {
 			return false, result.Wrap(result.JobNotStored, err, "job "+row.Spec.ID)
 		}
 	}
@@ -142,14 +143,3 @@
 	}
 	return out
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 
 	"skylarkport/internal/contract"
+	"skylarkport/internal/pause"
 	"skylarkport/internal/result"
 )
 
@@ -37,7 +38,7 @@
 			continue
 		case <-l.wake:
 		}
-		if !sleep(l.ctx, l.opt.Window-time.Since(l.started)) {
+		if !pause.For(l.ctx, l.opt.Window-time.Since(l.started)) {
 			return
 		}
 		b := l.take()
@@ -313,7 +314,7 @@
 				return result.Errorf(result.Deposed, "%s is owned by %s", l.name, now.Instance)
 			}
 		}
-		if !sleep(ctx, backoff(&retry)) {
+		if !pause.For(ctx, backoff(&retry)) {
 			return result.Wrap(result.JournalAway, err, "owner row of "+l.name)
 		}
 	}
@@ -348,24 +349,10 @@
 	l.away.Store(a)
 }
 
-func (l *Log) pause(retry *time.Duration) bool { return sleep(l.ctx, backoff(retry)) }
+func (l *Log) pause(retry *time.Duration) bool { return pause.For(l.ctx, backoff(retry)) }
 
 func backoff(d *time.Duration) time.Duration {
 	now := *d
 	*d = min(now*2, retryMax)
 	return now
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"skylarkport/internal/job"
+	"skylarkport/internal/pause"
 	"skylarkport/internal/result"
 )
 
@@ -71,17 +72,7 @@
 func work(ctx context.Context, client *http.Client, cfg *Config, next <-chan int, rep *Report) {
 	for i := range next {
 		send(ctx, client, cfg, i, rep)
-		pause(ctx, cfg.Pause)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
+		pause.For(ctx, cfg.Pause)
 	}
 }
 
