Both programs of an instance are assembled from one base

Cause: entry and scheduler each joined the platform's clients, the metrics, the membership and the bundle's keeper by the same thirty lines. Change: package process holds them; each program adds its own parts.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -6,11 +6,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 
-	"skylarkport/internal/bundle"
 	"skylarkport/internal/daemon"
 	"skylarkport/internal/member"
 	"skylarkport/internal/obs"
-	"skylarkport/internal/platform"
+	"skylarkport/internal/process"
 	"skylarkport/internal/settings"
 )
 
@@ -32,48 +31,32 @@
 	if err := obs.Setup(os.Stderr, cfg.Log.Format, cfg.Log.Level); err != nil {
 		return err
 	}
-	client := platform.New(cfg.Platform, platform.From{Zone: cfg.Zone, Instance: cfg.Instance})
-	defer client.Close()
-	metrics := obs.NewMetrics("skylark_entry")
-	g, err := group(cfg, client, metrics)
+	base, err := process.New(&cfg.Common, member.Entry, "skylark_entry")
 	if err != nil {
 		return err
 	}
+	defer base.Client.Close()
+	g := group(cfg, base)
 	logger.WithField("zone", cfg.Zone).Info("started")
 	err = g.Run()
 	if errors.Is(err, daemon.ErrSignal) {
 		err = nil
 	}
 	logger.Info("stopped")
-	return errors.CombineErrors(err, metrics.Close())
+	return errors.CombineErrors(err, base.Metrics.Close())
 }
 
 // group assembles the actors. They are interrupted in the order in which they
 // are added, so that what a request needs outlives the callers' server.
-func group(cfg *settings.Entry, client *platform.Client, metrics *obs.Metrics) (*run.Group, error) {
-	mc, err := member.NewConfig(&cfg.Common, member.Entry, client.Instances(), metrics.Scope())
-	if err != nil {
-		return nil, err
-	}
-	members, err := member.New(mc)
-	if err != nil {
-		return nil, err
-	}
-	initial, err := bundle.LoadInitial(cfg.BundleFile)
-	if err != nil {
-		return nil, err
-	}
-	keeper := bundle.NewKeeper(bundle.KeeperConfig{
-		Tables: client.Tables(), Objects: client.Objects(), Group: members, Initial: initial, Scope: metrics.Scope(),
-	})
+func group(cfg *settings.Entry, b *process.Base) *run.Group {
 	e := New(cfg, Deps{
-		Group: members, Bundles: keeper, Tables: client.Tables(), Objects: client.Objects(),
-		Instances: client.Instances(), Metrics: metrics, Leaving: members.Leave,
+		Group: b.Members, Bundles: b.Keeper, Tables: b.Client.Tables(), Objects: b.Client.Objects(),
+		Instances: b.Client.Instances(), Metrics: b.Metrics, Leaving: b.Members.Leave,
 	})
 	g := new(run.Group)
 	e.Add(g)
-	daemon.Actor(g, keeper.Run)
-	daemon.Actor(g, members.Run)
+	daemon.Actor(g, b.Keeper.Run)
+	daemon.Actor(g, b.Members.Run)
 	daemon.Actor(g, daemon.WaitSignal)
-	return g, nil
+	return g
 }
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -12,11 +12,10 @@
 
 	"skylarkport/internal/bundle"
 	"skylarkport/internal/daemon"
-	"skylarkport/internal/link"
 	"skylarkport/internal/member"
 	"skylarkport/internal/obs"
 	"skylarkport/internal/operator"
-	"skylarkport/internal/platform"
+	"skylarkport/internal/process"
 	"skylarkport/internal/result"
 	"skylarkport/internal/settings"
 )
@@ -44,14 +43,14 @@
 	if err := obs.Setup(os.Stderr, cfg.Log.Format, cfg.Log.Level); err != nil {
 		return err
 	}
-	p, err := newProcess(cfg)
+	p, err := newRunning(cfg)
 	if err != nil {
 		return err
 	}
-	defer p.client.Close()
+	defer p.Client.Close()
 	var g run.Group
-	daemon.Actor(&g, p.members.Run)
-	daemon.Actor(&g, p.keeper.Run)
+	daemon.Actor(&g, p.Members.Run)
+	daemon.Actor(&g, p.Keeper.Run)
 	daemon.Actor(&g, p.meter)
 	daemon.Actor(&g, p.serve)
 	daemon.Actor(&g, p.work)
@@ -64,66 +63,49 @@
 	return nil
 }
 
-// process is the parts of a running scheduler.
-type process struct {
+// running is the parts of a running scheduler.
+type running struct {
+	*process.Base
 	cfg     *settings.Scheduler
 	logger  log.Interface
-	client  *platform.Client
-	members *member.Members
-	keeper  *bundle.Keeper
-	metrics *obs.Metrics
-	keys    *link.Keys // nil for none
 	sched   *Scheduler
 	server  *http.Server
 	drain   chan struct{} // closed by the first signal
 	drained chan struct{} // closed when every shard is handed over
 }
 
-func newProcess(cfg *settings.Scheduler) (*process, error) {
-	client := platform.New(cfg.Platform, platform.From{Zone: cfg.Zone, Instance: cfg.Instance})
-	metrics := obs.NewMetrics("skylark_scheduler")
-	mc, err := member.NewConfig(&cfg.Common, member.Scheduler, client.Instances(), metrics.Scope())
+func newRunning(cfg *settings.Scheduler) (*running, error) {
+	base, err := process.New(&cfg.Common, member.Scheduler, "skylark_scheduler")
 	if err != nil {
 		return nil, err
 	}
-	members, err := member.New(mc)
-	if err != nil {
-		return nil, err
-	}
-	initial, err := bundle.LoadInitial(cfg.BundleFile)
-	if err != nil {
-		return nil, err
-	}
-	keeper := bundle.NewKeeper(bundle.KeeperConfig{
-		Tables: client.Tables(), Objects: client.Objects(), Group: members, Initial: initial, Scope: metrics.Scope(),
-	})
+	client := base.Client
 	ext := Platform{Tables: client.Tables(), Objects: client.Objects(), Instances: client.Instances(), Workers: client.Workers()}
-	sched := New(cfg, members, ext, keeper.Current, obs.Logger("shard"))
-	life := bundle.NewLifecycle(client.Tables(), client.Objects(), initial, keeper, sched.Strands)
+	sched := New(cfg, base.Members, ext, base.Keeper.Current, obs.Logger("shard"))
+	life := bundle.NewLifecycle(client.Tables(), client.Objects(), base.Initial, base.Keeper, sched.Strands)
 	api := operator.New(sched.Backend(), life)
-	api.Handle(metricsPath, metrics.Handler())
-	p := &process{
-		cfg: cfg, logger: obs.Logger("scheduler"), client: client, members: members, keeper: keeper,
-		metrics: metrics, keys: mc.Keys, sched: sched,
+	api.Handle(metricsPath, base.Metrics.Handler())
+	p := &running{
+		Base: base, cfg: cfg, logger: obs.Logger("scheduler"), sched: sched,
 		server: &http.Server{Addr: cfg.OperatorListen, Handler: api, ReadHeaderTimeout: readHeaderTimeout},
 		drain:  make(chan struct{}), drained: make(chan struct{}),
 	}
-	if p.keys != nil {
-		p.server.TLSConfig = p.keys.HTTPConfig()
+	if p.Keys != nil {
+		p.server.TLSConfig = p.Keys.HTTPConfig()
 	}
 	return p, nil
 }
 
 // meter hands the bytes at the sockets to the platform and the workers to the
 // metrics.
-func (p *process) meter(ctx context.Context) error {
-	p.client.Bytes().Report(ctx.Done(), p.metrics.Scope().SubScope("platform"))
+func (p *running) meter(ctx context.Context) error {
+	p.Client.Bytes().Report(ctx.Done(), p.Metrics.Scope().SubScope("platform"))
 	return nil
 }
 
 // listen serves the operator API, over TLS with mutual authentication where the
 // settings name keys.
-func (p *process) listen() error {
+func (p *running) listen() error {
 	if p.server.TLSConfig != nil {
 		return p.server.ListenAndServeTLS("", "")
 	}
@@ -132,7 +114,7 @@
 
 // serve answers operators until the drain begins, and lets the calls that are
 // under way end.
-func (p *process) serve(ctx context.Context) error {
+func (p *running) serve(ctx context.Context) error {
 	failed := make(chan error, 1)
 	go func() { failed <- p.listen() }()
 	select {
@@ -151,13 +133,13 @@
 }
 
 // work owns shards until the drain begins, and hands them over.
-func (p *process) work(ctx context.Context) error {
+func (p *running) work(ctx context.Context) error {
 	run, stop := context.WithCancel(ctx)
 	defer stop()
 	go func() {
 		select {
 		case <-p.drain:
-			p.members.Leave()
+			p.Members.Leave()
 			stop()
 		case <-run.Done():
 		}
@@ -170,7 +152,7 @@
 
 // signals turns the first signal into a drain, and ends the group when it is
 // done.
-func (p *process) signals(ctx context.Context) error {
+func (p *running) signals(ctx context.Context) error {
 	err := daemon.WaitSignal(ctx)
 	if err == nil {
 		return nil
