A shard's pause without length makes no timer

Cause: make test-race ended once with a segmentation fault inside the Go runtime (timer.maybeRunChan, under the race detector in virtual time), at the select of shard.pause on a timer of zero length. Change: a pause of zero length looks at the context only, as pause.For does. Conclusion: probably also the cause of the race detector's own failed checks seen earlier; a crash of the runtime is not excluded elsewhere.

--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -59,6 +59,9 @@
 }
 
 func pause(ctx context.Context, d time.Duration, kick <-chan struct{}) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
