skylark-node runs on the users' platform: thin whole path

Cause: the product had no way to run on a platform with its own store, workers and job protocol. Jobs become graphs of steps (internal/workload), a shard's owner commits decisions before carrying them out (internal/dispatch), instances find owners by gossip and a row (internal/node), platform/ translates. Ruled out: one owner for all workers (a 0.16 core machine would carry every start), a log per shard beside the rows (a second copy of each job's state).

--- /dev/null
+++ b/cmd/skylark-node/main.go
@@ -0,0 +1,38 @@
+// Command skylark-node is one instance of the batch side on the users' platform:
+// it takes jobs, places their tasks on workers and keeps their leases.
+package main
+
+import (
+	"net/http"
+	"os"
+
+	"skylarkport/internal/contract/fleet"
+	"skylarkport/internal/daemon"
+	"skylarkport/internal/node"
+	"skylarkport/internal/settings"
+	"skylarkport/platform"
+)
+
+func main() {
+	d := daemon.Daemon{
+		Name:  "skylark-node",
+		Check: node.Check,
+		Run:   func(file string) error { return node.Run(file, connect) },
+	}
+	os.Exit(d.Main())
+}
+
+// connect joins the node with the users' platform.
+func connect(s *settings.Node) node.Deps {
+	deps := node.Deps{
+		Store:    platform.NewStore(s.Store),
+		Workers:  platform.NewWorkers(),
+		Registry: platform.Registry{},
+		Configs:  platform.Configs{},
+		Front:    func(j fleet.Jobs) http.Handler { return platform.NewFront(j) },
+	}
+	if s.Adviser != "" {
+		deps.Adviser = platform.NewAdviser(s.Adviser)
+	}
+	return deps
+}
--- /dev/null
+++ b/internal/dispatch/metrics.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"skylarkport/internal/contract"
+	"skylarkport/internal/contract/fleet"
+)
+
+var latencies = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+
+// Metrics counts what the shards of an instance do.
+type Metrics struct {
+	commits, commitRefused, commitUnknown tally.Counter
+	commitTime, startWait                 tally.Histogram
+	batchJobs                             tally.Counter
+	starts, startUnknown                  tally.Counter
+	startRejected                         map[fleet.StartResult]tally.Counter
+	ends                                  map[fleet.EndKind]tally.Counter
+	holdFailed, vanished                  tally.Counter
+	quarantined, preempted                tally.Counter
+}
+
+// NewMetrics returns the metrics in scope.
+func NewMetrics(scope tally.Scope) *Metrics {
+	m := &Metrics{
+		commits:       scope.Counter("commits"),
+		commitRefused: scope.Counter("commits_refused"),
+		commitUnknown: scope.Counter("commits_unknown"),
+		commitTime:    scope.Histogram("commit_seconds", latencies),
+		startWait:     scope.Histogram("start_wait_seconds", latencies),
+		batchJobs:     scope.Counter("commit_jobs"),
+		starts:        scope.Counter("starts"),
+		startUnknown:  scope.Counter("starts_unknown"),
+		holdFailed:    scope.Counter("holds_failed"),
+		vanished:      scope.Counter("runs_vanished"),
+		quarantined:   scope.Counter("workers_set_aside"),
+		preempted:     scope.Counter("runs_preempted"),
+		startRejected: map[fleet.StartResult]tally.Counter{},
+		ends:          map[fleet.EndKind]tally.Counter{},
+	}
+	for r, name := range startResultNames {
+		m.startRejected[r] = scope.Tagged(map[string]string{"reason": name}).Counter("starts_rejected")
+	}
+	for _, k := range []fleet.EndKind{fleet.EndDone, fleet.EndFailed, fleet.EndStopped, fleet.EndLapsed, fleet.EndBroken, fleet.EndAlone} {
+		m.ends[k] = scope.Tagged(map[string]string{"how": string(k)}).Counter("runs_ended")
+	}
+	return m
+}
+
+var startResultNames = map[fleet.StartResult]string{
+	fleet.StartAccepted: "unsent", fleet.StartFenced: "fenced", fleet.StartOld: "old", fleet.StartLate: "late",
+	fleet.StartNoRoom: "room", fleet.StartNoTicket: "ticket", fleet.StartBusy: "busy",
+	fleet.StartInvalid: "invalid", fleet.StartOtherLife: "life",
+}
+
+// Committed records a durable commit of n jobs.
+func (m *Metrics) Committed(d time.Duration, n int) {
+	m.commits.Inc(1)
+	m.batchJobs.Inc(int64(n))
+	m.commitTime.RecordDuration(d)
+}
+
+// CommitFailed records a failed try.
+func (m *Metrics) CommitFailed(err error) {
+	if contract.OutcomeOf(err) == contract.Refused {
+		m.commitRefused.Inc(1)
+		return
+	}
+	m.commitUnknown.Inc(1)
+}
+
+// StartSent records a start and how long the task was ready before.
+func (m *Metrics) StartSent(wait time.Duration) {
+	m.starts.Inc(1)
+	m.startWait.RecordDuration(wait)
+}
+
+// StartUnknown records a start without an answer.
+func (m *Metrics) StartUnknown() { m.startUnknown.Inc(1) }
+
+// StartRejected records a start that did not begin.
+func (m *Metrics) StartRejected(r fleet.StartResult) { m.startRejected[r].Inc(1) }
+
+// RunEnded records the end of a run.
+func (m *Metrics) RunEnded(k fleet.EndKind) {
+	if c := m.ends[k]; c != nil {
+		c.Inc(1)
+	}
+}
+
+// HoldFailed records an unanswered hold.
+func (m *Metrics) HoldFailed() { m.holdFailed.Inc(1) }
+
+// RunVanished records a run that its worker does not list.
+func (m *Metrics) RunVanished() { m.vanished.Inc(1) }
+
+// Quarantined records a worker that was set aside.
+func (m *Metrics) Quarantined() { m.quarantined.Inc(1) }
+
+// Preempted records n runs stopped for a task of higher priority.
+func (m *Metrics) Preempted(n int) { m.preempted.Inc(int64(n)) }
--- /dev/null
+++ b/internal/dispatch/place.go
@@ -0,0 +1,397 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"skylarkport/internal/contract/fleet"
+	"skylarkport/internal/resource"
+	"skylarkport/internal/workload"
+)
+
+// slot is the room of a host during one plan.
+type slot struct {
+	host     *host
+	free     resource.Vector
+	coming   resource.Vector // of runs that are being stopped
+	serving  int             // runs with a tail target
+	filling  int
+	fillCPU  int64 // declared processor of the runs that fill
+	reserved bool  // room was freed for a waiting task in this plan
+}
+
+// slots returns the hosts that take new runs.
+func (s *Shard) slots(now time.Duration) []*slot {
+	var out []*slot
+	for _, h := range s.hosts {
+		if !h.takes(now) {
+			if h.busyUntil > now {
+				s.later(h.busyUntil)
+			}
+			if h.quarantine > now {
+				s.later(h.quarantine)
+			}
+			continue
+		}
+		sl := &slot{host: h, free: h.free()}
+		sl.serving, sl.filling = h.mix()
+		for _, t := range h.tasks {
+			if t.step.Fills {
+				sl.fillCPU += t.step.Needs.MilliCPU
+			}
+			if t.stopWanted && t.stage != stageDoubt {
+				sl.coming = sl.coming.Add(t.step.Committed())
+			}
+		}
+		out = append(out, sl)
+	}
+	slices.SortFunc(out, func(a, b *slot) int { return compareID(a.host, b.host) })
+	return out
+}
+
+func compareID(a, b *host) int {
+	if a.ID < b.ID {
+		return -1
+	}
+	return 1
+}
+
+// filter reports whether a host may ever run a task of the step.
+type filter func(t *task, q *fleet.Queue, sl *slot) bool
+
+// filters are applied in this order; all have to pass.
+var filters = []filter{serviceFits, labelFits, apartFits, roomFits}
+
+// serviceFits keeps to the workers of the queue's service.
+func serviceFits(_ *task, q *fleet.Queue, sl *slot) bool {
+	return q != nil && sl.host.Service == q.Service
+}
+
+// labelFits keeps to the workers with the required label.
+func labelFits(t *task, _ *fleet.Queue, sl *slot) bool {
+	return t.step.Label == "" || slices.Contains(sl.host.Labels, t.step.Label)
+}
+
+// apartFits keeps to the most tasks of a step on one worker.
+func apartFits(t *task, _ *fleet.Queue, sl *slot) bool {
+	if t.step.MaxPerWorker == 0 {
+		return true
+	}
+	n := 0
+	for _, o := range sl.host.tasks {
+		if o.job == t.job && o.id.Occurrence == t.id.Occurrence && o.id.Step == t.id.Step {
+			n++
+		}
+	}
+	return n < t.step.MaxPerWorker
+}
+
+// roomFits keeps to the room that is left.
+func roomFits(t *task, _ *fleet.Queue, sl *slot) bool { return t.step.Committed().Fits(sl.free) }
+
+// scorer prices a host for a task; the lowest sum wins.
+type scorer func(t *task, sl *slot, s *Shard) float64
+
+// scorers are the prices, in units of a whole host's load.
+var scorers = []scorer{loadPrice, distancePrice, failedPrice, sharingPrice}
+
+// loadPrice spreads runs over the hosts.
+func loadPrice(t *task, sl *slot, _ *Shard) float64 {
+	if sl.host.Capacity.MilliCPU == 0 {
+		return 1
+	}
+	left := float64(sl.free.MilliCPU - sl.fillCPU/2)
+	if t.step.Fills {
+		left = float64(sl.free.MilliCPU - sl.fillCPU)
+	}
+	return 1 - left/float64(sl.host.Capacity.MilliCPU)
+}
+
+// distancePrice keeps a task near its data: away from it, it takes several
+// times as long.
+func distancePrice(t *task, sl *slot, _ *Shard) float64 {
+	if t.step.Rack == "" || t.step.Rack == sl.host.Rack {
+		return 0
+	}
+	return 4
+}
+
+// failedPrice avoids the worker on which the last run failed.
+func failedPrice(t *task, sl *slot, _ *Shard) float64 {
+	if t.avoid != sl.host.ID {
+		return 0
+	}
+	return 3
+}
+
+// sharingPrice keeps runs that fill apart from runs with a tail target.
+func sharingPrice(t *task, sl *slot, s *Shard) float64 {
+	switch {
+	case t.step.Fills:
+		return s.images.pressure(t, sl.host)
+	case t.step.TargetMillis > 0 && t.step.Lasting:
+		price := s.images.exposure(t, sl.host)
+		if sl.serving > 0 && sl.filling == 0 {
+			price -= servingTogether
+		}
+		return price
+	}
+	return 0
+}
+
+// servingTogether gathers runs with a target on few hosts, which leaves others
+// to runs that fill.
+const servingTogether = 0.5
+
+// best returns the host for t, or nil.
+func (s *Shard) best(t *task, q *fleet.Queue, slots []*slot, rack string, tickets map[string]string) *slot {
+	var found *slot
+	lowest := 0.0
+	for _, sl := range slots {
+		if rack != "" && sl.host.Rack != rack {
+			continue
+		}
+		if tickets != nil && tickets[sl.host.ID] == "" {
+			continue
+		}
+		if !passes(t, q, sl) || t.step.Fills && !s.images.mayFill(t, sl.host) {
+			continue
+		}
+		price := 0.0
+		for _, f := range scorers {
+			price += f(t, sl, s)
+		}
+		if found == nil || price < lowest {
+			found, lowest = sl, price
+		}
+	}
+	return found
+}
+
+func passes(t *task, q *fleet.Queue, sl *slot) bool {
+	for _, f := range filters {
+		if !f(t, q, sl) {
+			return false
+		}
+	}
+	return true
+}
+
+// placeCandidate places c, frees room for it, or leaves it waiting.
+func (s *Shard) placeCandidate(c *candidate, q *fleet.Queue, slots []*slot, now time.Duration) {
+	t := c.first()
+	var tickets map[string]string
+	if q != nil && q.Advice != nil && s.cfg.Adviser != nil {
+		var ok bool
+		if tickets, ok = s.tickets(t, q, slots, now); !ok {
+			return
+		}
+	}
+	if t.step.Gang {
+		s.placeGang(c, q, slots, tickets, now)
+		return
+	}
+	if sl := s.best(t, q, slots, "", tickets); sl != nil {
+		sl.take(t)
+		t.ticket = tickets[sl.host.ID]
+		sl.host.place(t, now)
+		return
+	}
+	if tickets == nil {
+		s.preempt(c, q, slots, now)
+	}
+}
+
+// take accounts for t on the slot.
+func (sl *slot) take(t *task) {
+	sl.free = sl.free.Sub(t.step.Committed())
+	if t.step.Fills {
+		sl.filling++
+		sl.fillCPU += t.step.Needs.MilliCPU
+	}
+	if t.step.TargetMillis > 0 && t.step.Lasting {
+		sl.serving++
+	}
+}
+
+// placeGang places all members or none, in one rack where that pays.
+func (s *Shard) placeGang(c *candidate, q *fleet.Queue, slots []*slot, tickets map[string]string, now time.Duration) {
+	racks := []string{""}
+	if c.first().step.OneRack {
+		racks = append(racksOf(slots), "")
+	}
+	for _, rack := range racks {
+		if chosen := s.gangSlots(c, q, slots, rack, tickets); chosen != nil {
+			s.startGang(c, chosen, tickets, now)
+			return
+		}
+	}
+}
+
+func racksOf(slots []*slot) []string {
+	var out []string
+	for _, sl := range slots {
+		if !slices.Contains(out, sl.host.Rack) {
+			out = append(out, sl.host.Rack)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// gangSlots returns a slot per member, or nil.
+func (s *Shard) gangSlots(c *candidate, q *fleet.Queue, slots []*slot, rack string, tickets map[string]string) []*slot {
+	trial := make([]*slot, len(slots))
+	origin := make(map[*slot]*slot, len(slots))
+	for i, sl := range slots {
+		dup := *sl
+		trial[i], origin[&dup] = &dup, sl
+	}
+	var chosen []*slot
+	perHost := map[*slot]int{}
+	for _, t := range c.tasks {
+		sl := s.best(t, q, trial, rack, tickets)
+		if sl == nil {
+			return nil
+		}
+		sl.take(t)
+		perHost[sl]++
+		chosen = append(chosen, origin[sl])
+		if limit := t.step.MaxPerWorker; limit > 0 && perHost[sl] >= limit {
+			trial = slices.DeleteFunc(trial, func(o *slot) bool { return o == sl })
+		}
+	}
+	return chosen
+}
+
+// startGang binds the members with one run number and one checkpoint.
+func (s *Shard) startGang(c *candidate, chosen []*slot, tickets map[string]string, now time.Duration) {
+	run, checkpoint := 0, ""
+	for _, t := range c.tasks {
+		run = max(run, t.Run)
+		if checkpoint == "" {
+			checkpoint = t.Checkpoint
+		}
+	}
+	for i, t := range c.tasks {
+		t.Run, t.Checkpoint = run, checkpoint
+		t.ticket = tickets[chosen[i].host.ID]
+		chosen[i].take(t)
+		chosen[i].host.place(t, now)
+	}
+}
+
+const (
+	// preemptWait is how long a task waits for room before runs of lower
+	// priority are stopped: runs of half a second to some seconds end all the time.
+	preemptWait = 120 * time.Millisecond
+	// maxWaste is the most unsaved work, in core-milliseconds, that a stop may
+	// throw away for each core-millisecond of the task that waits.
+	maxWaste = 1.0
+)
+
+// preempt stops runs of lower priority where the least work is lost by it.
+func (s *Shard) preempt(c *candidate, q *fleet.Queue, slots []*slot, now time.Duration) {
+	t := c.first()
+	if q == nil || c.class > classOnTime || t.step.Fills {
+		return
+	}
+	if now-t.readyAt < preemptWait && !t.step.Lasting {
+		s.later(t.readyAt + preemptWait)
+		return
+	}
+	var target *slot
+	var victims []*task
+	least := maxWaste * float64(t.step.Needs.MilliCPU) * float64(max(t.step.EstimateMillis, minPreemptWorth))
+	if t.step.Lasting {
+		least *= lastingWorth
+	}
+	for _, sl := range slots {
+		if !serviceFits(t, q, sl) || !labelFits(t, q, sl) || !apartFits(t, q, sl) {
+			continue
+		}
+		if t.step.Committed().Fits(sl.free.Add(sl.coming)) {
+			sl.free = sl.free.Sub(t.step.Committed()) // it gets what is coming
+			return
+		}
+		if vs, waste := s.victims(t, q.Priority, sl, now); vs != nil && waste < least {
+			target, victims, least = sl, vs, waste
+		}
+	}
+	if target == nil {
+		return
+	}
+	for _, v := range victims {
+		v.stopWanted, v.preempted = true, true
+		target.coming = target.coming.Add(v.step.Committed())
+		s.inspectStop(v, target.host, now)
+	}
+	s.cfg.Metrics.Preempted(len(victims))
+	logger.WithField("task", t.name).WithField("worker", target.host.ID).WithField("victims", len(victims)).
+		WithField("waste_core_ms", int(least/1000)).Debug("runs of lower priority are stopped")
+	target.free = target.free.Sub(t.step.Committed())
+}
+
+const (
+	// minPreemptWorth is the least duration, in milliseconds, that a waiting
+	// task counts for; declared durations may be far too low.
+	minPreemptWorth = 500
+	// lastingWorth is how much more a lasting task counts: it runs for long.
+	lastingWorth = 10
+)
+
+// victims returns the runs on sl to stop for t and the work lost, in
+// core-milliseconds times a thousand, or nil.
+func (s *Shard) victims(t *task, priority int, sl *slot, now time.Duration) ([]*task, float64) {
+	cfg := s.cfg.Config()
+	var options []*task
+	for _, v := range sl.host.tasks {
+		q := queueOf(cfg, v.job)
+		if q == nil || q.Priority <= priority || v.step.Lasting || v.step.Gang || v.step.Fills || v.stopWanted || v.stage != stageRunning {
+			continue
+		}
+		options = append(options, v)
+	}
+	slices.SortFunc(options, func(a, b *task) int {
+		if wa, wb := waste(a, now), waste(b, now); wa != wb {
+			if wa < wb {
+				return -1
+			}
+			return 1
+		}
+		return 0
+	})
+	room, lost := sl.free.Add(sl.coming), 0.0
+	for i, v := range options {
+		room = room.Add(v.step.Committed())
+		lost += waste(v, now)
+		if t.step.Committed().Fits(room) {
+			return options[:i+1], lost
+		}
+	}
+	return nil, 0
+}
+
+// checkpointAge is about how much work a stop loses where checkpoints are
+// taken; a stop saves once more.
+const checkpointAge = 100 * time.Millisecond
+
+// waste is the unsaved work of a run.
+func waste(t *task, now time.Duration) float64 {
+	d := now - t.since
+	if t.step.Checkpoints {
+		d = min(d, checkpointAge)
+	}
+	return float64(t.step.Needs.MilliCPU) * float64(d.Milliseconds())
+}
+
+// openTo reports whether any host of the shard could ever run the step.
+func (s *Shard) openTo(st *workload.Step, service string) bool {
+	for _, h := range s.hosts {
+		if h.listed && h.Service == service && st.Committed().Fits(h.Capacity) &&
+			(st.Label == "" || slices.Contains(h.Labels, st.Label)) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/dispatch/plan.go
@@ -0,0 +1,201 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"skylarkport/internal/contract/fleet"
+	"skylarkport/internal/workload"
+)
+
+// Urgency classes of startable tasks, the first to be placed first.
+const (
+	classLasting  = iota // users wait for it all the time
+	classOnTime          // its job can still end in time
+	classLate            // its job can still end within lateFactor times its time
+	classHopeless        // only the job's completion counts any more
+)
+
+// lateFactor is how many times its allowed time a job may take and still be of
+// use to its caller.
+const lateFactor = 3
+
+// candidate is a unit of placement: one task, or all members of a gang.
+type candidate struct {
+	tasks    []*task
+	priority int
+	class    int
+	slack    time.Duration // until the latest start in time
+}
+
+// first is the task that stands for the candidate.
+func (c *candidate) first() *task { return c.tasks[0] }
+
+// plan places what may start. The caller holds the lock.
+func (s *Shard) plan(now time.Duration) {
+	s.planAgain = 0
+	s.beginOccurrences(now)
+	if s.paused {
+		return
+	}
+	s.leaveDraining()
+	ready := s.candidates(now)
+	slots := s.slots(now)
+	spent := s.cfg.Config()
+	for _, c := range ready {
+		q := queueOf(spent, c.first().job)
+		if q == nil && spent != nil {
+			s.later(now + configPause)
+			continue // the queue was removed: its tasks wait for it to return
+		}
+		s.placeCandidate(c, q, slots, now)
+	}
+}
+
+// configPause is how soon a task whose queue is not configured is looked at again.
+const configPause = 500 * time.Millisecond
+
+// later notes that a plan may change at that time.
+func (s *Shard) later(at time.Duration) {
+	if s.planAgain == 0 || at < s.planAgain {
+		s.planAgain = at
+	}
+}
+
+func queueOf(cfg *fleet.Config, j *job) *fleet.Queue {
+	if cfg == nil {
+		return nil
+	}
+	return cfg.ByName(j.spec.Queue)
+}
+
+// beginOccurrences makes the tasks of the occurrences whose time has come.
+func (s *Shard) beginOccurrences(now time.Duration) {
+	for _, j := range s.jobs {
+		if !j.spec.Timed() || !j.active() {
+			continue
+		}
+		unix := s.cfg.Unix(s.storeNow()).UnixMilli()
+		for k := len(j.rec.Tasks); k < j.spec.Occurrences(); k++ {
+			if left := j.spec.DueMillis(k) - unix; left > 0 {
+				s.later(now + time.Duration(left)*time.Millisecond)
+				break
+			}
+			j.begin(k, now)
+		}
+	}
+}
+
+// leaveDraining stops the runs on draining workers that lose little by it:
+// lasting ones, which are at work elsewhere sooner, and those with checkpoints.
+func (s *Shard) leaveDraining() {
+	for _, h := range s.hosts {
+		if !h.Draining {
+			continue
+		}
+		for _, t := range h.tasks {
+			if t.stage == stageRunning && (t.step.Lasting || t.step.Checkpoints) {
+				t.stopWanted = true
+			}
+		}
+	}
+}
+
+// candidates returns the startable tasks in the order of their urgency.
+func (s *Shard) candidates(now time.Duration) []*candidate {
+	var out []*candidate
+	cfg := s.cfg.Config()
+	for _, j := range s.jobs {
+		if !j.active() {
+			continue
+		}
+		q := queueOf(cfg, j)
+		for k := range j.tasks {
+			out = s.occurrenceCandidates(out, j, k, q, now)
+		}
+	}
+	slices.SortFunc(out, func(a, b *candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.priority, b.priority),
+			cmp.Compare(a.class, b.class),
+			cmp.Compare(a.slack, b.slack),
+			cmp.Compare(a.first().name, b.first().name),
+		)
+	})
+	return out
+}
+
+func (s *Shard) occurrenceCandidates(out []*candidate, j *job, k int, q *fleet.Queue, now time.Duration) []*candidate {
+	for step := range j.spec.Steps {
+		tasks := j.stepTasks(k, step)
+		if tasks == nil || !j.open(k, step) {
+			continue
+		}
+		if j.spec.Steps[step].Gang {
+			if gangReady(tasks, now) {
+				out = append(out, s.rank(&candidate{tasks: tasks}, j, k, step, q))
+			}
+			continue
+		}
+		for i, t := range tasks {
+			if t.Phase != workload.Pending {
+				continue
+			}
+			if now < t.notBefore {
+				s.later(t.notBefore)
+				continue
+			}
+			out = append(out, s.rank(&candidate{tasks: tasks[i : i+1]}, j, k, step, q))
+		}
+	}
+	return out
+}
+
+// gangReady reports whether all members wait.
+func gangReady(tasks []*task, now time.Duration) bool {
+	for _, t := range tasks {
+		if t.Phase != workload.Pending || now < t.notBefore {
+			return false
+		}
+	}
+	return true
+}
+
+// rank sets the urgency of c.
+func (s *Shard) rank(c *candidate, j *job, k, step int, q *fleet.Queue) *candidate {
+	allowed, target := defaultSlack, time.Duration(0)
+	if q != nil {
+		c.priority, allowed, target = q.Priority, q.Slack, q.Target
+	}
+	if j.spec.Steps[step].Lasting {
+		c.class = classLasting
+		return c
+	}
+	longest := slices.Max(j.chain)
+	whole := time.Duration(float64(longest)*allowed)*time.Millisecond + target
+	spent := s.age(j, k)
+	left := time.Duration(j.chain[step]) * time.Millisecond
+	c.slack = whole - spent - left
+	switch {
+	case c.slack >= 0:
+		c.class = classOnTime
+	case spent+left < lateFactor*whole:
+		c.class = classLate
+	default:
+		c.class = classHopeless
+	}
+	return c
+}
+
+// defaultSlack is used for queues that are not configured any more.
+const defaultSlack = 1.5
+
+// age is the time since the job was accepted, or since occurrence k was due.
+func (s *Shard) age(j *job, k int) time.Duration {
+	if j.spec.Timed() {
+		due := time.UnixMilli(j.spec.DueMillis(k))
+		return s.cfg.Unix(s.storeNow()).Sub(due)
+	}
+	return time.Duration(s.storeNow()-j.at) * time.Millisecond
+}
--- /dev/null
+++ b/internal/node/jobs.go
@@ -0,0 +1,346 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"skylarkport/internal/contract"
+	"skylarkport/internal/contract/fleet"
+	"skylarkport/internal/dispatch"
+	"skylarkport/internal/pause"
+	"skylarkport/internal/result"
+	"skylarkport/internal/workload"
+)
+
+const (
+	// ownerTimeout bounds one try at a shard's owner: a commit takes some 30 ms,
+	// and a caller's time allows for a second try.
+	ownerTimeout = 800 * time.Millisecond
+	// patience is how long a request that no owner answers is tried; a takeover
+	// takes about a second and a half, and callers come back.
+	patience = 1800 * time.Millisecond
+	// tryPause is the pause between tries.
+	tryPause = 80 * time.Millisecond
+	// maxHops bounds how often a job that moved between shards is followed.
+	maxHops = 3
+	// pendingFor is how long a count of pending jobs is used.
+	pendingFor = 700 * time.Millisecond
+)
+
+// Submit implements fleet.Jobs.
+func (n *Node) Submit(ctx context.Context, q *fleet.Queue, spec workload.Spec) error {
+	if err := spec.Validate(); err != nil {
+		return err
+	}
+	l := n.layout.Load()
+	if l == nil {
+		return result.Errorf(result.NotReady, "the instance is starting")
+	}
+	home := l.Home(spec.ID)
+	maybe := false
+	err := n.try(ctx, func(ctx context.Context) (bool, error) {
+		err := n.submitOnce(ctx, home, spec)
+		switch result.Of(err) {
+		case result.OK, result.JobBad:
+			return true, err
+		case result.NotOwner, result.JobNotStored, result.PeerAway, result.NotReady:
+		default:
+			maybe = true
+		}
+		return false, err
+	})
+	n.metrics.submitted(err, maybe)
+	switch {
+	case err == nil, result.Of(err) == result.JobBad:
+	case maybe:
+		err = result.Wrap(result.OutcomeUnknown, err, "the job may have been accepted")
+	default:
+		err = result.Wrap(result.JobNotStored, err, "the job was not accepted")
+	}
+	if err != nil {
+		logger.WithField("job", spec.ID).WithField("queue", q.Name).WithField("shard", home).WithError(err).Info("job was not accepted")
+	}
+	return err
+}
+
+// try calls f until it is done, the caller's time is up, or nothing can change
+// soon.
+func (n *Node) try(ctx context.Context, f func(context.Context) (done bool, err error)) error {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	for {
+		done, err := f(ctx)
+		if done {
+			return err
+		}
+		if !pause.For(ctx, tryPause) {
+			return err
+		}
+	}
+}
+
+// submitOnce hands a job to the owner of its home, or to the shard's inbox
+// where no owner answers.
+func (n *Node) submitOnce(ctx context.Context, home string, spec workload.Spec) error {
+	err := n.askOwner(ctx, home, methodSubmit, SubmitRequest{Shard: home, Spec: spec})
+	if err == nil || result.Of(err) == result.JobBad {
+		return err
+	}
+	if result.Of(err) == result.JobNotStored || !n.storeOK() {
+		return err
+	}
+	if inboxErr := n.submitInbox(ctx, home, spec); inboxErr == nil || result.Of(inboxErr) != result.PlatformRefused {
+		return inboxErr
+	}
+	return err
+}
+
+// askOwner sends a request without a reply of its own to a shard's owner.
+func (n *Node) askOwner(ctx context.Context, shard, method string, req SubmitRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	if n.owners.here(shard) != nil {
+		return n.submitHere(ctx, &req)
+	}
+	own, ok := n.owners.of(shard)
+	if !ok {
+		return result.Errorf(result.NotOwner, "no owner of %s is known", shard)
+	}
+	var out Outcome
+	if err := n.peers.call(ctx, own.Control, method, req, &out); err != nil {
+		return err
+	}
+	return out.err()
+}
+
+// submitHere takes a job into a shard of this instance.
+func (n *Node) submitHere(ctx context.Context, r *SubmitRequest) error {
+	s := n.owners.here(r.Shard)
+	if s == nil {
+		return result.Errorf(result.NotOwner, "shard %s", r.Shard)
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	return s.Submit(ctx, r.Spec)
+}
+
+// submitInbox stores a job for the owner to come.
+func (n *Node) submitInbox(ctx context.Context, shard string, spec workload.Spec) error {
+	key := dispatch.InboxSubmit + spec.ID
+	a := workload.Accepted{Spec: spec, AtMillis: int64(n.storeNow())}
+	return n.writeInbox(ctx, fleet.Tx{
+		Part:   shard,
+		Expect: []fleet.Row{{Table: dispatch.TableInbox, Key: key}, {Table: dispatch.TableAccepted, Key: spec.ID}},
+		Put:    []fleet.Row{{Table: dispatch.TableInbox, Key: key, Value: workload.Encode(a)}},
+	})
+}
+
+// writeInbox commits tx. A failed condition means that the same was stored before.
+func (n *Node) writeInbox(ctx context.Context, tx fleet.Tx) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	res, err := n.deps.Store.Commit(ctx, tx)
+	n.noteStore(err)
+	if err == nil {
+		n.sawStoreClock(res.Clock)
+		return nil
+	}
+	if contract.OutcomeOf(err) == contract.Refused {
+		return result.Wrap(result.PlatformRefused, err, "inbox")
+	}
+	return result.Wrap(result.OutcomeUnknown, err, "inbox")
+}
+
+// State implements fleet.Jobs.
+func (n *Node) State(ctx context.Context, id string) (workload.State, error) {
+	r, err := n.aboutJob(ctx, id, methodState)
+	return r.State, err
+}
+
+// Cancel implements fleet.Jobs.
+func (n *Node) Cancel(ctx context.Context, id string) error {
+	_, err := n.aboutJob(ctx, id, methodCancel)
+	return err
+}
+
+// aboutJob asks the owner of a job's shard, and the store where no owner answers
+// or the owner does not know the job.
+func (n *Node) aboutJob(ctx context.Context, id, method string) (JobReply, error) {
+	l := n.layout.Load()
+	if l == nil {
+		return JobReply{}, result.Errorf(result.NotReady, "the instance is starting")
+	}
+	var reply JobReply
+	err := n.try(ctx, func(ctx context.Context) (bool, error) {
+		shard := l.Home(id)
+		for range maxHops {
+			reply = n.askAbout(ctx, shard, id, method)
+			if reply.Moved == nil {
+				break
+			}
+			shard = reply.Moved.Shard
+		}
+		switch reply.Code {
+		case result.OK:
+			return true, nil
+		case result.JobUnknown, result.NotOwner, result.PeerAway:
+			return n.aboutStored(ctx, shard, id, method, &reply)
+		}
+		return false, reply.err()
+	})
+	switch result.Of(err) {
+	case result.OK, result.JobUnknown, result.OutcomeUnknown:
+	default:
+		err = result.Wrap(result.NotReady, err, "no owner answers")
+	}
+	if err != nil && result.Of(err) != result.JobUnknown {
+		logger.WithField("job", id).WithField("method", method).WithError(err).Info("job request was not answered")
+	}
+	return reply, err
+}
+
+func (n *Node) askAbout(ctx context.Context, shard, id, method string) JobReply {
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	req := JobRequest{Shard: shard, ID: id}
+	if n.owners.here(shard) != nil {
+		if method == methodCancel {
+			return n.cancelHere(ctx, &req)
+		}
+		return n.stateHere(ctx, &req)
+	}
+	own, ok := n.owners.of(shard)
+	if !ok {
+		return JobReply{Outcome: Outcome{Code: result.NotOwner, Detail: "no owner is known"}}
+	}
+	var out JobReply
+	if err := n.peers.call(ctx, own.Control, method, req, &out); err != nil {
+		return JobReply{Outcome: outcomeOf(err)}
+	}
+	return out
+}
+
+// stateHere answers about a job of a shard of this instance.
+func (n *Node) stateHere(ctx context.Context, r *JobRequest) JobReply {
+	s := n.owners.here(r.Shard)
+	if s == nil {
+		return JobReply{Outcome: Outcome{Code: result.NotOwner, Detail: r.Shard}}
+	}
+	state, moved, err := s.State(ctx, r.ID)
+	return JobReply{Outcome: outcomeOf(err), State: state, Moved: moved}
+}
+
+// cancelHere cancels a job of a shard of this instance.
+func (n *Node) cancelHere(ctx context.Context, r *JobRequest) JobReply {
+	s := n.owners.here(r.Shard)
+	if s == nil {
+		return JobReply{Outcome: Outcome{Code: result.NotOwner, Detail: r.Shard}}
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	moved, err := s.Cancel(ctx, r.ID)
+	return JobReply{Outcome: outcomeOf(err), Moved: moved}
+}
+
+// aboutStored answers from the shard's rows. Only they prove that a job does
+// not exist: an owner may have been replaced without knowing it yet.
+func (n *Node) aboutStored(ctx context.Context, shard, id, method string, reply *JobReply) (bool, error) {
+	accepted, err := n.owners.readRow(ctx, dispatch.TableAccepted, shard, id)
+	if err != nil {
+		return false, result.Wrap(result.NotReady, err, "store")
+	}
+	inbox, err := n.owners.readRow(ctx, dispatch.TableInbox, shard, dispatch.InboxSubmit+id)
+	if err != nil {
+		return false, result.Wrap(result.NotReady, err, "store")
+	}
+	if accepted.Version == 0 && inbox.Version == 0 {
+		return true, result.Errorf(result.JobUnknown, "no job %s", id)
+	}
+	if method == methodCancel {
+		return n.cancelInbox(ctx, shard, id)
+	}
+	reply.State = workload.Queued
+	if accepted.Version == 0 {
+		return true, nil
+	}
+	row, err := n.owners.readRow(ctx, dispatch.TableProgress, shard, id)
+	if err != nil {
+		return false, result.Wrap(result.NotReady, err, "store")
+	}
+	var rec workload.Record
+	if err := workload.Decode(row.Value, &rec); err != nil {
+		return false, err
+	}
+	reply.State = rec.State
+	return true, nil
+}
+
+// cancelInbox stores a cancellation for the owner to come.
+func (n *Node) cancelInbox(ctx context.Context, shard, id string) (bool, error) {
+	key := dispatch.InboxCancel + id
+	err := n.writeInbox(ctx, fleet.Tx{
+		Part:   shard,
+		Expect: []fleet.Row{{Table: dispatch.TableInbox, Key: key}},
+		Put:    []fleet.Row{{Table: dispatch.TableInbox, Key: key, Value: []byte("{}")}},
+	})
+	return err == nil, err
+}
+
+// pendingCounts caches what owners said.
+type pendingCounts struct {
+	mu     sync.Mutex
+	byPeer map[string]pendingCount
+}
+
+type pendingCount struct {
+	at     time.Time
+	queues map[string]int
+}
+
+// Pending implements fleet.Jobs.
+func (n *Node) Pending(ctx context.Context, queue string) (int, error) {
+	l := n.layout.Load()
+	if l == nil {
+		return 0, result.Errorf(result.NotReady, "the instance is starting")
+	}
+	sum := n.owners.pending()[queue]
+	asked := map[string]bool{n.self.Control: true}
+	counts := make(chan int, len(l.Shards()))
+	calls := 0
+	for _, shard := range l.Shards() {
+		own, ok := n.owners.of(shard)
+		if !ok || asked[own.Control] {
+			continue
+		}
+		asked[own.Control] = true
+		calls++
+		go func() { counts <- n.pendingOf(ctx, own.Control, queue) }()
+	}
+	for range calls {
+		sum += <-counts
+	}
+	return sum, nil
+}
+
+// pendingOf asks an owner, or uses what it said before.
+func (n *Node) pendingOf(ctx context.Context, control, queue string) int {
+	p := &n.pendingCache
+	p.mu.Lock()
+	have := p.byPeer[control]
+	p.mu.Unlock()
+	if time.Since(have.at) < pendingFor {
+		return have.queues[queue]
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	var r PendingReply
+	if err := n.peers.call(ctx, control, methodPending, struct{}{}, &r); err != nil {
+		logger.WithField("peer", control).WithError(err).Info("pending jobs were not counted; an older count is used")
+		return have.queues[queue]
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.byPeer[control] = pendingCount{at: time.Now(), queues: r.Queues}
+	return r.Queues[queue]
+}
--- /dev/null
+++ b/internal/node/layout.go
@@ -0,0 +1,152 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"skylarkport/internal/contract/fleet"
+	"skylarkport/internal/pause"
+	"skylarkport/internal/workload"
+)
+
+const (
+	tableLayout = "layout"
+	keyLayout   = "layout"
+	// workersPerShard is how many workers one owner follows; docs/CAPACITY.md
+	// has the slopes.
+	workersPerShard = 64
+	// maxShards bounds the shards of a zone.
+	maxShards = 16
+	// emptyRegistryWait is how long the first start waits for workers to register.
+	emptyRegistryWait = 2 * time.Second
+)
+
+// Layout is the division of an installation into shards. It is written once.
+type Layout struct {
+	Zones   []string `json:"zones"`
+	PerZone int      `json:"per_zone"`
+}
+
+// Shards returns the names of all shards.
+func (l *Layout) Shards() []string {
+	var out []string
+	for _, z := range l.Zones {
+		for i := range l.PerZone {
+			out = append(out, shardName(z, i))
+		}
+	}
+	return out
+}
+
+func shardName(zone string, i int) string { return fmt.Sprintf("%s-%d", zone, i) }
+
+// Home is the shard that a job's id belongs to. It depends on the id alone, so
+// that every instance and every retry agrees.
+func (l *Layout) Home(id string) string {
+	n := xxhash.Sum64String(id) % uint64(len(l.Zones)*l.PerZone)
+	return l.Shards()[n]
+}
+
+// ShardOf is the shard that a worker belongs to: its rack's.
+func (l *Layout) ShardOf(w fleet.Worker) string {
+	zone := w.Zone
+	if !slices.Contains(l.Zones, zone) {
+		zone = l.Zones[xxhash.Sum64String(zone)%uint64(len(l.Zones))]
+	}
+	return shardName(zone, int(xxhash.Sum64String(w.Rack)%uint64(l.PerZone)))
+}
+
+// ZoneOf is the zone of a shard's workers.
+func (l *Layout) ZoneOf(shard string) string {
+	for _, z := range l.Zones {
+		for i := range l.PerZone {
+			if shardName(z, i) == shard {
+				return z
+			}
+		}
+	}
+	return ""
+}
+
+// Rank orders instances for the ownership of a shard: those of its zone first,
+// each zone by rendezvous hashing.
+func (l *Layout) Rank(shard string, instances []Instance) []Instance {
+	zone := l.ZoneOf(shard)
+	out := slices.Clone(instances)
+	weight := func(i Instance) uint64 { return xxhash.Sum64String(shard + "/" + i.Name) }
+	slices.SortFunc(out, func(a, b Instance) int {
+		if (a.Zone == zone) != (b.Zone == zone) {
+			if a.Zone == zone {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+// readLayout returns the stored layout and writes it where there is none.
+func (n *Node) readLayout(ctx context.Context) (*Layout, error) {
+	started := time.Now()
+	for {
+		l, err := n.tryLayout(ctx, time.Since(started) > emptyRegistryWait)
+		if err == nil && l != nil {
+			return l, nil
+		}
+		if err != nil {
+			logger.WithError(err).Debug("layout cannot be read")
+		}
+		if l := n.peers.layout(ctx); l != nil {
+			return l, nil
+		}
+		if !pause.For(ctx, retryPause) {
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (n *Node) tryLayout(ctx context.Context, workersOptional bool) (*Layout, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	p, err := n.deps.Store.Range(ctx, tableLayout, "", "", "")
+	if err != nil {
+		return nil, err
+	}
+	n.sawStoreClock(p.Clock)
+	if len(p.Rows) > 0 {
+		l := new(Layout)
+		return l, workload.Decode(p.Rows[0].Value, l)
+	}
+	workers, err := n.deps.Store.Range(ctx, n.deps.Registry.Table(), "", "", "")
+	if err != nil {
+		return nil, err
+	}
+	if len(workers.Rows) == 0 && !workersOptional {
+		return nil, nil
+	}
+	l := &Layout{Zones: slices.Sorted(slices.Values(n.settings.Zones)), PerZone: shardsPerZone(n.deps.Registry, workers.Rows)}
+	_, err = n.deps.Store.Commit(ctx, fleet.Tx{
+		Expect: []fleet.Row{{Table: tableLayout, Key: keyLayout}},
+		Put:    []fleet.Row{{Table: tableLayout, Key: keyLayout, Value: workload.Encode(l)}},
+	})
+	return nil, err // read again: another instance may have been first
+}
+
+// shardsPerZone is what the largest zone needs.
+func shardsPerZone(reg fleet.Registry, rows []fleet.Row) int {
+	zones := map[string]int{}
+	largest := 0
+	for _, r := range rows {
+		if w, ok := reg.Worker(r); ok {
+			zones[w.Zone]++
+			largest = max(largest, zones[w.Zone])
+		}
+	}
+	return min(max(1, (largest+workersPerShard-1)/workersPerShard), maxShards)
+}
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,32 @@
+package node
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"skylarkport/internal/result"
+)
+
+// metrics counts callers' requests.
+type metrics struct {
+	accepted, refused, unknown tally.Counter
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	return &metrics{
+		accepted: scope.Counter("jobs_accepted"),
+		refused:  scope.Counter("jobs_refused"),
+		unknown:  scope.Counter("jobs_unknown"),
+	}
+}
+
+// submitted records the answer to a submitted job.
+func (m *metrics) submitted(err error, maybe bool) {
+	switch {
+	case result.Of(err) == result.OK:
+		m.accepted.Inc(1)
+	case maybe:
+		m.unknown.Inc(1)
+	default:
+		m.refused.Inc(1)
+	}
+}
