Filling runs share workers by learned pairs of images; one shard up to 64 workers

Ruled out: keeping filling runs apart altogether (68% of the room is declared by lasting tasks); spreading lasting tasks (each host then excludes most images).

--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -72,7 +72,6 @@
 			m.Phase, m.stage, m.Checkpoint, m.Worker = workload.Done, stageNone, "", ""
 		}
 	}
-	s.images.ended(t, s.now())
 	j.closeOccurrence(k)
 	if !j.rec.State.Final() && j.complete() {
 		s.finish(j, workload.Completed)
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -32,6 +32,7 @@
 	strikeJob   string
 	quarantine  time.Duration // set aside until then
 	quarantines int
+	filledAt    time.Duration // when a filling run was last seen here
 }
 
 func newHost(w fleet.Worker) *host {
@@ -97,26 +98,32 @@
 	return h.listed && !h.Draining && h.seen && h.silent == 0 && now >= h.busyUntil && now >= h.quarantine
 }
 
-// serving counts the runs with a tail target, filling those that use leftovers.
-func (h *host) mix() (serving, filling int) {
+// usedCPU estimates the processor time that runs use, in thousandths of a core:
+// lasting runs use less than they declare, filling runs what is left.
+func (h *host) usedCPU(b *imageBook) int64 {
+	used := int64(0)
 	for _, t := range h.tasks {
-		if t.step.TargetMillis > 0 && t.step.Lasting {
-			serving++
-		}
-		if t.step.Fills {
-			filling++
+		switch {
+		case t.step.Lasting:
+			used += int64(float64(t.step.Needs.MilliCPU) * max(lastingUse, b.utilisation(t.step.Image, t.gauge)))
+		default:
+			used += t.step.Needs.MilliCPU
 		}
 	}
-	return serving, filling
+	return used
 }
 
+// lastingUse is the least share of its declared processors that a lasting run
+// is taken to use.
+const lastingUse = 0.4
+
 // place binds a new run of t to the host.
 func (h *host) place(t *task, now time.Duration) {
 	t.Phase, t.Run = workload.Placed, t.Run+1
 	t.Worker, t.Life = h.ID, h.Life
 	t.stage, t.since = stagePlanned, now
 	t.stopWanted, t.preempted, t.stopSent, t.stopAnswer = false, false, 0, 0
-	t.percent, t.progressed, t.gauge, t.pace, t.overTarget = 0, now, 0, 0, 0
+	t.percent, t.progressed, t.gauge, t.pace, t.overTarget, t.loadAt = 0, now, 0, 0, 0, 0
 	h.tasks[t.name] = t
 	t.job.begun, t.job.dirty = true, true
 	if t.job.rec.State == workload.Queued {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -53,10 +53,13 @@
 	progressed time.Duration // when percent last changed
 	gauge      float64
 	ticket     string
+	overTarget time.Duration // since when the tail is over its target, 0 for not
+	load       float64       // utilisation without filling neighbours, at loadAt
+	loadAt     time.Duration
+	pacedAt    time.Duration
 	avoid      string // worker on which the last run failed
 	notBefore  time.Duration
 	pace       int // share of full speed that was ordered, 1 to 100; 0 for never
-	overTarget time.Duration
 }
 
 // newJob returns a job without occurrences.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -11,13 +11,11 @@
 
 // slot is the room of a host during one plan.
 type slot struct {
-	host     *host
-	free     resource.Vector
-	coming   resource.Vector // of runs that are being stopped
-	serving  int             // runs with a tail target
-	filling  int
-	fillCPU  int64 // declared processor of the runs that fill
-	reserved bool  // room was freed for a waiting task in this plan
+	host   *host
+	free   resource.Vector
+	coming resource.Vector // of runs that are being stopped
+	idle   int64           // processors that nothing is expected to use, in thousandths
+	serves int             // runs with a tail target
 }
 
 // slots returns the hosts that take new runs.
@@ -33,11 +31,10 @@
 			}
 			continue
 		}
-		sl := &slot{host: h, free: h.free()}
-		sl.serving, sl.filling = h.mix()
+		sl := &slot{host: h, free: h.free(), idle: h.Capacity.MilliCPU - h.usedCPU(&s.images)}
 		for _, t := range h.tasks {
-			if t.step.Fills {
-				sl.fillCPU += t.step.Needs.MilliCPU
+			if t.serving() {
+				sl.serves++
 			}
 			if t.stopWanted && t.stage != stageDoubt {
 				sl.coming = sl.coming.Add(t.step.Committed())
@@ -93,18 +90,22 @@
 type scorer func(t *task, sl *slot, s *Shard) float64
 
 // scorers are the prices, in units of a whole host's load.
-var scorers = []scorer{loadPrice, distancePrice, failedPrice, sharingPrice}
+var scorers = []scorer{loadPrice, distancePrice, failedPrice, apartPrice}
 
-// loadPrice spreads runs over the hosts.
+// loadPrice spreads runs over the hosts, but gathers lasting runs: hosts without
+// any are open to every run that fills.
 func loadPrice(t *task, sl *slot, _ *Shard) float64 {
 	if sl.host.Capacity.MilliCPU == 0 {
 		return 1
 	}
-	left := float64(sl.free.MilliCPU - sl.fillCPU/2)
-	if t.step.Fills {
-		left = float64(sl.free.MilliCPU - sl.fillCPU)
+	whole := float64(sl.host.Capacity.MilliCPU)
+	switch {
+	case t.serving():
+		return float64(sl.free.MilliCPU) / whole
+	case t.step.Fills:
+		return 1 - float64(sl.idle)/whole
 	}
-	return 1 - left/float64(sl.host.Capacity.MilliCPU)
+	return 1 - float64(sl.free.MilliCPU)/whole
 }
 
 // distancePrice keeps a task near its data: away from it, it takes several
@@ -124,24 +125,45 @@
 	return 3
 }
 
-// sharingPrice keeps runs that fill apart from runs with a tail target.
-func sharingPrice(t *task, sl *slot, s *Shard) float64 {
+// apartPrice keeps runs that fill apart from runs with a tail target, gathers
+// the latter by image, so that a host has few pairs of images, and keeps others
+// from the hosts that are open to every run that fills.
+func apartPrice(t *task, sl *slot, _ *Shard) float64 {
 	switch {
-	case t.step.Fills:
-		return s.images.pressure(t, sl.host)
-	case t.step.TargetMillis > 0 && t.step.Lasting:
-		price := s.images.exposure(t, sl.host)
-		if sl.serving > 0 && sl.filling == 0 {
-			price -= servingTogether
-		}
-		return price
+	case t.step.Fills && sl.serves > 0:
+		return besideServing
+	case t.serving():
+		return imagesPrice(t, sl)
+	case !t.step.Fills && sl.serves == 0:
+		return openHost / 2
 	}
 	return 0
 }
 
-// servingTogether gathers runs with a target on few hosts, which leaves others
-// to runs that fill.
-const servingTogether = 0.5
+// imagesPrice is lowest on a host that serves the same image alone.
+func imagesPrice(t *task, sl *slot) float64 {
+	if sl.serves == 0 {
+		return openHost
+	}
+	others := map[string]bool{}
+	for _, o := range sl.host.tasks {
+		if o.serving() && o.step.Image != t.step.Image {
+			others[o.step.Image] = true
+		}
+	}
+	return otherImage * float64(len(others))
+}
+
+const (
+	// besideServing makes a host without serving runs the first choice of a run
+	// that fills, unless it is nearly full.
+	besideServing = 0.6
+	// openHost keeps hosts without serving runs open.
+	openHost = 1.2
+	// otherImage is more than a new host costs: each image on a host excludes
+	// the filling images that disturb it.
+	otherImage = 2.5
+)
 
 // best returns the host for t, or nil.
 func (s *Shard) best(t *task, q *fleet.Queue, slots []*slot, rack string, tickets map[string]string) *slot {
@@ -154,7 +176,7 @@
 		if tickets != nil && tickets[sl.host.ID] == "" {
 			continue
 		}
-		if !passes(t, q, sl) || t.step.Fills && !s.images.mayFill(t, sl.host) {
+		if !passes(t, q, sl) || t.step.Fills && !s.mayFill(t, sl) {
 			continue
 		}
 		price := 0.0
@@ -168,6 +190,16 @@
 	return found
 }
 
+// mayFill keeps runs that fill to processors that are idle, and away from
+// serving runs that they would bring over their target.
+func (s *Shard) mayFill(t *task, sl *slot) bool {
+	if sl.idle < t.step.Needs.MilliCPU {
+		return false
+	}
+	_, ok := s.images.mayFill(t, sl.host, s.now())
+	return ok
+}
+
 func passes(t *task, q *fleet.Queue, sl *slot) bool {
 	for _, f := range filters {
 		if !f(t, q, sl) {
@@ -205,12 +237,9 @@
 // take accounts for t on the slot.
 func (sl *slot) take(t *task) {
 	sl.free = sl.free.Sub(t.step.Committed())
-	if t.step.Fills {
-		sl.filling++
-		sl.fillCPU += t.step.Needs.MilliCPU
-	}
-	if t.step.TargetMillis > 0 && t.step.Lasting {
-		sl.serving++
+	sl.idle -= t.step.Needs.MilliCPU
+	if t.serving() {
+		sl.serves++
 	}
 }
 
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -88,6 +88,7 @@
 	hostWG     sync.WaitGroup
 	loaded     chan struct{}
 	images     imageBook
+	summarized time.Duration
 	advised    map[string]*advice
 	cause      error // why the shard ended
 	cancel     context.CancelCauseFunc
@@ -230,6 +231,8 @@
 		j.begin(0, s.now())
 	}
 	s.jobs[spec.ID] = j
+	logger.WithField("job", spec.ID).WithField("shard", s.cfg.Name).WithField("queue", spec.Queue).
+		WithField("steps", spec.Summary()).Info("job admitted")
 	return j
 }
 
@@ -404,7 +407,9 @@
 func (s *Shard) tick(ctx context.Context) error {
 	for pause.For(ctx, tickInterval) {
 		s.mu.Lock()
-		again := s.inspect(s.now())
+		now := s.now()
+		again := s.inspect(now)
+		s.summarize(now)
 		s.mu.Unlock()
 		if again {
 			s.kick()
--- a/internal/node/layout.go
+++ b/internal/node/layout.go
@@ -29,11 +29,18 @@
 // Layout is the division of an installation into shards. It is written once.
 type Layout struct {
 	Zones   []string `json:"zones"`
-	PerZone int      `json:"per_zone"`
+	PerZone int      `json:"per_zone"` // 0: one shard holds all workers
 }
 
+// wholeShard is the shard of an installation that one owner can follow. It sees
+// all room at once and needs no balance between shards.
+const wholeShard = "whole"
+
 // Shards returns the names of all shards.
 func (l *Layout) Shards() []string {
+	if l.PerZone == 0 {
+		return []string{wholeShard}
+	}
 	var out []string
 	for _, z := range l.Zones {
 		for i := range l.PerZone {
@@ -48,12 +55,15 @@
 // Home is the shard that a job's id belongs to. It depends on the id alone, so
 // that every instance and every retry agrees.
 func (l *Layout) Home(id string) string {
-	n := xxhash.Sum64String(id) % uint64(len(l.Zones)*l.PerZone)
-	return l.Shards()[n]
+	shards := l.Shards()
+	return shards[xxhash.Sum64String(id)%uint64(len(shards))]
 }
 
 // ShardOf is the shard that a worker belongs to: its rack's.
 func (l *Layout) ShardOf(w fleet.Worker) string {
+	if l.PerZone == 0 {
+		return wholeShard
+	}
 	zone := w.Zone
 	if !slices.Contains(l.Zones, zone) {
 		zone = l.Zones[xxhash.Sum64String(zone)%uint64(len(l.Zones))]
@@ -138,15 +148,19 @@
 	return nil, err // read again: another instance may have been first
 }
 
-// shardsPerZone is what the largest zone needs.
+// shardsPerZone is what the largest zone needs, or 0 where one shard is enough.
 func shardsPerZone(reg fleet.Registry, rows []fleet.Row) int {
 	zones := map[string]int{}
-	largest := 0
+	largest, all := 0, 0
 	for _, r := range rows {
 		if w, ok := reg.Worker(r); ok {
 			zones[w.Zone]++
+			all++
 			largest = max(largest, zones[w.Zone])
 		}
 	}
+	if all <= workersPerShard {
+		return 0
+	}
 	return min(max(1, (largest+workersPerShard-1)/workersPerShard), maxShards)
 }
--- a/internal/workload/spec.go
+++ b/internal/workload/spec.go
@@ -3,6 +3,9 @@
 package workload
 
 import (
+	"fmt"
+	"strings"
+
 	"skylarkport/internal/resource"
 	"skylarkport/internal/result"
 )
@@ -145,3 +148,32 @@
 	}
 	return chain
 }
+
+// Summary describes the steps in a few characters each, for logs: tasks,
+// thousandths of a core, declared milliseconds, and a letter per property.
+func (s *Spec) Summary() string {
+	var b strings.Builder
+	for i := range s.Steps {
+		st := &s.Steps[i]
+		fmt.Fprintf(&b, "[%dx%dm/%dms", st.Tasks, st.Needs.MilliCPU, st.EstimateMillis)
+		for _, p := range []struct {
+			set    bool
+			letter string
+		}{
+			{st.Lasting, " lasting"}, {st.Fills, " fills"}, {st.Checkpoints, " ckpt"}, {st.Gang, " gang"}, {st.Copies, " copies"},
+			{st.MaxPerWorker > 0, " apart"}, {st.Label != "", " label"}, {st.Rack != "", " rack"},
+		} {
+			if p.set {
+				b.WriteString(p.letter)
+			}
+		}
+		if st.Image != "" {
+			fmt.Fprintf(&b, " %s<%d", st.Image, st.TargetMillis)
+		}
+		if len(st.After) > 0 {
+			fmt.Fprintf(&b, " after%v", st.After)
+		}
+		b.WriteByte(']')
+	}
+	return b.String()
+}
