A placement pass works by steps and images

Cause: with hundreds of waiting tasks a plan tried each on each host (0.134 of 0.16 core on the dealers' owner); filling runs took the memory that short tasks need (first start p50 261 ms). Ruled out: commits and holds (87 holds and 25 commits a second cost about 2%). Change: candidates are steps, what finds no slot is not tried again in a pass, bearable shares are kept per slot and image, 8% of memory is kept, and filling runs may be stopped for room.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -16,6 +16,9 @@
 	coming resource.Vector // of runs that are being stopped
 	idle   int64           // processors that nothing is expected to use, in thousandths
 	serves int             // runs with a tail target
+	// bearable is the share of the processors that one more run of a filling
+	// image may use; it is worked out when asked for.
+	bearable map[string]float64
 }
 
 // slots returns the hosts that take new runs.
@@ -31,7 +34,7 @@
 			}
 			continue
 		}
-		sl := &slot{host: h, free: h.free(), idle: h.Capacity.MilliCPU - h.usedCPU(&s.images)}
+		sl := &slot{host: h, free: h.free(), idle: h.Capacity.MilliCPU - h.usedCPU(&s.images), bearable: map[string]float64{}}
 		for _, t := range h.tasks {
 			if t.serving() {
 				sl.serves++
@@ -165,8 +168,64 @@
 	otherImage = 2.5
 )
 
-// best returns the host for t, or nil.
-func (s *Shard) best(t *task, q *fleet.Queue, slots []*slot, rack string, tickets map[string]string) *slot {
+// pass is one plan over the slots. What could not be placed is not tried again
+// in the same pass.
+type pass struct {
+	s     *Shard
+	now   time.Duration
+	slots []*slot
+	// full holds, per filling image, the smallest needs that found no slot.
+	full map[string]resource.Vector
+}
+
+func (s *Shard) newPass(now time.Duration) *pass {
+	return &pass{s: s, now: now, slots: s.slots(now), full: map[string]resource.Vector{}}
+}
+
+// placeCandidate places the tasks of c, frees room for them, or leaves them
+// waiting.
+func (p *pass) placeCandidate(c *candidate, q *fleet.Queue) {
+	var tickets map[string]string
+	if q.Advice != nil && p.s.cfg.Adviser != nil {
+		var ok bool
+		if tickets, ok = p.s.tickets(c.first(), q, p.slots, p.now); !ok {
+			return
+		}
+	}
+	if c.step().Gang {
+		p.placeGang(c, q, tickets)
+		return
+	}
+	if full, ok := p.full[c.step().Image]; ok && c.step().Fills && full.Fits(c.step().Needs) {
+		return
+	}
+	for _, t := range c.tasks {
+		sl := p.best(t, q, p.slots, "", tickets)
+		if sl == nil {
+			p.unplaced(c, t, q, tickets)
+			return
+		}
+		t.ticket = tickets[sl.host.ID]
+		sl.take(t)
+		sl.host.place(t, p.now)
+	}
+}
+
+// unplaced notes that t, and so the rest of c, found no slot.
+func (p *pass) unplaced(c *candidate, t *task, q *fleet.Queue, tickets map[string]string) {
+	if t.step.Fills {
+		if t.avoid == "" {
+			p.full[t.step.Image] = t.step.Needs
+		}
+		return
+	}
+	if tickets == nil {
+		p.preempt(c, t, q)
+	}
+}
+
+// best returns the slot for t, or nil.
+func (p *pass) best(t *task, q *fleet.Queue, slots []*slot, rack string, tickets map[string]string) *slot {
 	var found *slot
 	lowest := 0.0
 	for _, sl := range slots {
@@ -176,12 +235,12 @@
 		if tickets != nil && tickets[sl.host.ID] == "" {
 			continue
 		}
-		if !passes(t, q, sl) || t.step.Fills && !s.mayFill(t, sl) {
+		if !passes(t, q, sl) || t.step.Fills && !p.mayFill(t, sl) {
 			continue
 		}
 		price := 0.0
 		for _, f := range scorers {
-			price += f(t, sl, s)
+			price += f(t, sl, p.s)
 		}
 		if found == nil || price < lowest {
 			found, lowest = sl, price
@@ -190,14 +249,26 @@
 	return found
 }
 
-// mayFill keeps runs that fill to processors that are idle, and away from
-// serving runs that they would bring over their target.
-func (s *Shard) mayFill(t *task, sl *slot) bool {
-	if sl.idle < t.step.Needs.MilliCPU {
+// memoryKept is the share of a worker's memory that runs which fill leave to
+// others: those come at any time and are short.
+const memoryKept = 0.08
+
+// mayFill keeps runs that fill to processors that are idle and to memory beyond
+// what is kept, and away from serving runs that they would bring over their target.
+func (p *pass) mayFill(t *task, sl *slot) bool {
+	kept := int64(memoryKept * float64(sl.host.Capacity.MemoryMB))
+	if sl.idle < t.step.Needs.MilliCPU || sl.free.MemoryMB-kept < t.step.Needs.MemoryMB {
 		return false
 	}
-	_, ok := s.images.mayFill(t, sl.host, s.now())
-	return ok
+	if sl.serves == 0 {
+		return true
+	}
+	most, ok := sl.bearable[t.step.Image]
+	if !ok {
+		most = p.s.images.bearable(t.step.Image, sl.host, p.now)
+		sl.bearable[t.step.Image] = most
+	}
+	return share(t, sl.host) <= most
 }
 
 func passes(t *task, q *fleet.Queue, sl *slot) bool {
@@ -209,31 +280,6 @@
 	return true
 }
 
-// placeCandidate places c, frees room for it, or leaves it waiting.
-func (s *Shard) placeCandidate(c *candidate, q *fleet.Queue, slots []*slot, now time.Duration) {
-	t := c.first()
-	var tickets map[string]string
-	if q != nil && q.Advice != nil && s.cfg.Adviser != nil {
-		var ok bool
-		if tickets, ok = s.tickets(t, q, slots, now); !ok {
-			return
-		}
-	}
-	if t.step.Gang {
-		s.placeGang(c, q, slots, tickets, now)
-		return
-	}
-	if sl := s.best(t, q, slots, "", tickets); sl != nil {
-		sl.take(t)
-		t.ticket = tickets[sl.host.ID]
-		sl.host.place(t, now)
-		return
-	}
-	if tickets == nil {
-		s.preempt(c, q, slots, now)
-	}
-}
-
 // take accounts for t on the slot.
 func (sl *slot) take(t *task) {
 	sl.free = sl.free.Sub(t.step.Committed())
@@ -241,17 +287,20 @@
 	if t.serving() {
 		sl.serves++
 	}
+	if t.serving() || t.step.Fills {
+		clear(sl.bearable)
+	}
 }
 
 // placeGang places all members or none, in one rack where that pays.
-func (s *Shard) placeGang(c *candidate, q *fleet.Queue, slots []*slot, tickets map[string]string, now time.Duration) {
+func (p *pass) placeGang(c *candidate, q *fleet.Queue, tickets map[string]string) {
 	racks := []string{""}
-	if c.first().step.OneRack {
-		racks = append(racksOf(slots), "")
+	if c.step().OneRack {
+		racks = append(racksOf(p.slots), "")
 	}
 	for _, rack := range racks {
-		if chosen := s.gangSlots(c, q, slots, rack, tickets); chosen != nil {
-			s.startGang(c, chosen, tickets, now)
+		if chosen := p.gangSlots(c, q, rack, tickets); chosen != nil {
+			startGang(c, chosen, tickets, p.now)
 			return
 		}
 	}
@@ -269,17 +318,18 @@
 }
 
 // gangSlots returns a slot per member, or nil.
-func (s *Shard) gangSlots(c *candidate, q *fleet.Queue, slots []*slot, rack string, tickets map[string]string) []*slot {
-	trial := make([]*slot, len(slots))
-	origin := make(map[*slot]*slot, len(slots))
-	for i, sl := range slots {
+func (p *pass) gangSlots(c *candidate, q *fleet.Queue, rack string, tickets map[string]string) []*slot {
+	trial := make([]*slot, len(p.slots))
+	origin := make(map[*slot]*slot, len(p.slots))
+	for i, sl := range p.slots {
 		dup := *sl
+		dup.bearable = map[string]float64{}
 		trial[i], origin[&dup] = &dup, sl
 	}
 	var chosen []*slot
 	perHost := map[*slot]int{}
 	for _, t := range c.tasks {
-		sl := s.best(t, q, trial, rack, tickets)
+		sl := p.best(t, q, trial, rack, tickets)
 		if sl == nil {
 			return nil
 		}
@@ -294,7 +344,7 @@
 }
 
 // startGang binds the members with one run number and one checkpoint.
-func (s *Shard) startGang(c *candidate, chosen []*slot, tickets map[string]string, now time.Duration) {
+func startGang(c *candidate, chosen []*slot, tickets map[string]string, now time.Duration) {
 	run, checkpoint := 0, ""
 	for _, t := range c.tasks {
 		run = max(run, t.Run)
@@ -320,9 +370,9 @@
 )
 
 // preempt stops runs of lower priority where the least work is lost by it.
-func (s *Shard) preempt(c *candidate, q *fleet.Queue, slots []*slot, now time.Duration) {
-	t := c.first()
-	if q == nil || c.class > classOnTime || t.step.Fills {
+func (p *pass) preempt(c *candidate, t *task, q *fleet.Queue) {
+	s, now := p.s, p.now
+	if c.class > classOnTime {
 		return
 	}
 	if now-t.readyAt < preemptWait && !t.step.Lasting {
@@ -335,7 +385,7 @@
 	if t.step.Lasting {
 		least *= lastingWorth
 	}
-	for _, sl := range slots {
+	for _, sl := range p.slots {
 		if !serviceFits(t, q, sl) || !labelFits(t, q, sl) || !apartFits(t, q, sl) {
 			continue
 		}
@@ -376,7 +426,7 @@
 	var options []*task
 	for _, v := range sl.host.tasks {
 		q := queueOf(cfg, v.job)
-		if q == nil || q.Priority <= priority || v.step.Lasting || v.step.Gang || v.step.Fills || v.stopWanted || v.stage != stageRunning {
+		if q == nil || q.Priority <= priority || v.step.Lasting || v.step.Gang || v.stopWanted || v.stage != stageRunning {
 			continue
 		}
 		options = append(options, v)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -21,9 +21,11 @@
 // use to its caller.
 const lateFactor = 3
 
-// candidate is a unit of placement: one task, or all members of a gang.
+// candidate is a unit of placement: the tasks of a step that wait, which are
+// placed one by one, or all members of a gang, which are placed together.
 type candidate struct {
 	tasks    []*task
+	job      *job
 	priority int
 	class    int
 	slack    time.Duration // until the latest start in time
@@ -32,6 +34,9 @@
 // first is the task that stands for the candidate.
 func (c *candidate) first() *task { return c.tasks[0] }
 
+// step is the step of the candidate's tasks.
+func (c *candidate) step() *workload.Step { return c.tasks[0].step }
+
 // plan places what may start. The caller holds the lock.
 func (s *Shard) plan(now time.Duration) {
 	s.planAgain = 0
@@ -41,15 +46,18 @@
 	}
 	s.leaveDraining()
 	ready := s.candidates(now)
-	slots := s.slots(now)
-	spent := s.cfg.Config()
+	if len(ready) == 0 {
+		return
+	}
+	p := s.newPass(now)
+	cfg := s.cfg.Config()
 	for _, c := range ready {
-		q := queueOf(spent, c.first().job)
-		if q == nil && spent != nil {
+		q := queueOf(cfg, c.job)
+		if q == nil {
 			s.later(now + configPause)
-			continue // the queue was removed: its tasks wait for it to return
+			continue // the queue is not configured: its tasks wait for it to return
 		}
-		s.placeCandidate(c, q, slots, now)
+		p.placeCandidate(c, q)
 	}
 }
 
@@ -120,7 +128,7 @@
 			cmp.Compare(a.priority, b.priority),
 			cmp.Compare(a.class, b.class),
 			cmp.Compare(a.slack, b.slack),
-			cmp.Compare(a.first().name, b.first().name),
+			cmp.Compare(a.job.spec.ID, b.job.spec.ID),
 		)
 	})
 	return out
@@ -138,16 +146,25 @@
 			}
 			continue
 		}
-		for i, t := range tasks {
-			if t.Phase != workload.Pending {
-				continue
-			}
-			if now < t.notBefore {
-				s.later(t.notBefore)
-				continue
-			}
-			out = append(out, s.rank(&candidate{tasks: tasks[i : i+1]}, j, k, step, q))
+		if waiting := s.waiting(tasks, now); len(waiting) > 0 {
+			out = append(out, s.rank(&candidate{tasks: waiting}, j, k, step, q))
+		}
+	}
+	return out
+}
+
+// waiting returns the tasks that may be placed now.
+func (s *Shard) waiting(tasks []*task, now time.Duration) []*task {
+	var out []*task
+	for _, t := range tasks {
+		if t.Phase != workload.Pending {
+			continue
+		}
+		if now < t.notBefore {
+			s.later(t.notBefore)
+			continue
 		}
+		out = append(out, t)
 	}
 	return out
 }
@@ -164,6 +181,7 @@
 
 // rank sets the urgency of c.
 func (s *Shard) rank(c *candidate, j *job, k, step int, q *fleet.Queue) *candidate {
+	c.job = j
 	allowed, target := defaultSlack, time.Duration(0)
 	if q != nil {
 		c.priority, allowed, target = q.Priority, q.Slack, q.Target
--- a/internal/dispatch/sharing.go
+++ b/internal/dispatch/sharing.go
@@ -145,20 +145,21 @@
 	return b.limit(t.step.Image, float64(t.step.TargetMillis)) - loadMargin - u
 }
 
-// mayFill reports whether the filling run f may go to h without bringing a
-// serving run there near its target, and the least headroom that is left.
-func (b *imageBook) mayFill(f *task, h *host, now time.Duration) (float64, bool) {
-	least := 1.0
+// bearable is the share of h's processors that one more run of a filling image
+// may use without bringing a serving run there near its target.
+func (b *imageBook) bearable(image string, h *host, now time.Duration) float64 {
+	most := 1.0
 	for _, t := range h.tasks {
 		if !t.serving() {
 			continue
 		}
-		w := b.weight(imagePair{f.step.Image, t.step.Image})
-		cautious := w.mean * share(f, h)
-		least = min(least, b.headroom(t, h, now)-cautious)
-		if least < 0 {
-			return least, false
+		room := b.headroom(t, h, now)
+		if room < 0 {
+			return -1
+		}
+		if w := b.weight(imagePair{image, t.step.Image}).mean; w > 0 {
+			most = min(most, room/w)
 		}
 	}
-	return least, true
+	return most
 }
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -19,7 +19,7 @@
 	for _, c := range s.candidates(now) {
 		waiting += len(c.tasks)
 		if c.first().step.Fills {
-			filling++
+			filling += len(c.tasks)
 		}
 	}
 	var idleOpen, idleServing, capacity int64
