Filling runs leave wanted hosts to others; short tasks go before lasting ones

Ruled out: more room in all (idle processors were left on every host). Change: price by how many waiting images a host bears and by strain, a first round for gentle runs, use of lasting runs from their own load, three strikes on first failures only, order on-time, lasting, late.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -106,6 +106,10 @@
 		}},
 	}
 	b.put(TableBeat, KeyBeat, b.beat)
+	if now := s.now(); len(s.images.quiet) > 0 && now-s.bookAt > bookInterval {
+		s.bookAt = now
+		b.put(TableImages, KeyImages, s.images.row())
+	}
 	size, full := 0, false
 	for _, j := range s.jobs {
 		if !j.dirty {
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -108,8 +108,9 @@
 
 const (
 	// strikeLimit is how many failures in a row, by different jobs, set a worker
-	// aside: one in twenty tasks fails by its own fault.
-	strikeLimit = 2
+	// aside: one in twenty tasks fails by its own fault, so that three in a row
+	// are seen about once in a day of some thousand tasks.
+	strikeLimit = 3
 	// Time that a worker is set aside for, doubled with each repetition.
 	quarantineMin = 3 * time.Second
 	quarantineMax = 12 * time.Second
@@ -121,8 +122,8 @@
 	case fleet.EndDone:
 		h.strikes, h.quarantines, h.strikeJob = 0, 0, ""
 	case fleet.EndFailed:
-		if h.strikeJob == t.job.spec.ID {
-			return
+		if h.strikeJob == t.job.spec.ID || t.Failures > 0 {
+			return // more likely the job's own fault
 		}
 		h.strikeJob = t.job.spec.ID
 		s.strike(h, now, "failures of different jobs")
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -100,12 +100,12 @@
 
 // usedCPU estimates the processor time that runs use, in thousandths of a core:
 // lasting runs use less than they declare, filling runs what is left.
-func (h *host) usedCPU(b *imageBook) int64 {
+func (h *host) usedCPU() int64 {
 	used := int64(0)
 	for _, t := range h.tasks {
 		switch {
 		case t.step.Lasting:
-			used += int64(float64(t.step.Needs.MilliCPU) * max(lastingUse, b.utilisation(t.step.Image, t.gauge)))
+			used += int64(float64(t.step.Needs.MilliCPU) * max(lastingUse, t.load))
 		default:
 			used += t.step.Needs.MilliCPU
 		}
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -32,8 +32,19 @@
 	if err != nil {
 		return err
 	}
+	books, _, err := s.readAll(ctx, TableImages, s.cfg.Name)
+	if err != nil {
+		return err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(books) > 0 {
+		var r bookRow
+		if err := workload.Decode(books[0].Value, &r); err != nil {
+			return err
+		}
+		s.images.restore(r)
+	}
 	if len(beats) > 0 {
 		s.beatVer = beats[0].Version
 		if err := workload.Decode(beats[0].Value, &s.beat); err != nil {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -34,7 +34,7 @@
 			}
 			continue
 		}
-		sl := &slot{host: h, free: h.free(), idle: h.Capacity.MilliCPU - h.usedCPU(&s.images), bearable: map[string]float64{}}
+		sl := &slot{host: h, free: h.free(), idle: h.Capacity.MilliCPU - h.usedCPU(), bearable: map[string]float64{}}
 		for _, t := range h.tasks {
 			if t.serving() {
 				sl.serves++
@@ -90,14 +90,14 @@
 func roomFits(t *task, _ *fleet.Queue, sl *slot) bool { return t.step.Committed().Fits(sl.free) }
 
 // scorer prices a host for a task; the lowest sum wins.
-type scorer func(t *task, sl *slot, s *Shard) float64
+type scorer func(t *task, sl *slot, p *pass) float64
 
 // scorers are the prices, in units of a whole host's load.
 var scorers = []scorer{loadPrice, distancePrice, failedPrice, apartPrice}
 
 // loadPrice spreads runs over the hosts, but gathers lasting runs: hosts without
 // any are open to every run that fills.
-func loadPrice(t *task, sl *slot, _ *Shard) float64 {
+func loadPrice(t *task, sl *slot, _ *pass) float64 {
 	if sl.host.Capacity.MilliCPU == 0 {
 		return 1
 	}
@@ -113,7 +113,7 @@
 
 // distancePrice keeps a task near its data: away from it, it takes several
 // times as long.
-func distancePrice(t *task, sl *slot, _ *Shard) float64 {
+func distancePrice(t *task, sl *slot, _ *pass) float64 {
 	if t.step.Rack == "" || t.step.Rack == sl.host.Rack {
 		return 0
 	}
@@ -121,7 +121,7 @@
 }
 
 // failedPrice avoids the worker on which the last run failed.
-func failedPrice(t *task, sl *slot, _ *Shard) float64 {
+func failedPrice(t *task, sl *slot, _ *pass) float64 {
 	if t.avoid != sl.host.ID {
 		return 0
 	}
@@ -131,10 +131,10 @@
 // apartPrice keeps runs that fill apart from runs with a tail target, gathers
 // the latter by image, so that a host has few pairs of images, and keeps others
 // from the hosts that are open to every run that fills.
-func apartPrice(t *task, sl *slot, _ *Shard) float64 {
+func apartPrice(t *task, sl *slot, p *pass) float64 {
 	switch {
-	case t.step.Fills && sl.serves > 0:
-		return besideServing
+	case t.step.Fills:
+		return p.fillPrice(t, sl)
 	case t.serving():
 		return imagesPrice(t, sl)
 	case !t.step.Fills && sl.serves == 0:
@@ -143,6 +143,19 @@
 	return 0
 }
 
+// fillPrice prefers hosts that few other waiting images can use and serving runs
+// that t presses little.
+func (p *pass) fillPrice(t *task, sl *slot) float64 {
+	wanted := 0
+	for _, image := range p.images {
+		if p.bearable(image, sl) > 0 {
+			wanted++
+		}
+	}
+	price := wantedPrice * float64(wanted) / float64(max(1, len(p.images)))
+	return price + strainPrice*p.s.images.worstStrain(t, sl.host)
+}
+
 // imagesPrice is lowest on a host that serves the same image alone.
 func imagesPrice(t *task, sl *slot) float64 {
 	if sl.serves == 0 {
@@ -158,9 +171,12 @@
 }
 
 const (
-	// besideServing makes a host without serving runs the first choice of a run
-	// that fills, unless it is nearly full.
-	besideServing = 0.6
+	// wantedPrice is the price of a host that every waiting filling image could
+	// use: such hosts are left to those that have no other.
+	wantedPrice = 0.8
+	// strainPrice is the price of the utilisation that a filling run adds to a
+	// serving one: what presses little goes first.
+	strainPrice = 3.0
 	// openHost keeps hosts without serving runs open.
 	openHost = 1.2
 	// otherImage is more than a new host costs: each image on a host excludes
@@ -171,15 +187,23 @@
 // pass is one plan over the slots. What could not be placed is not tried again
 // in the same pass.
 type pass struct {
-	s     *Shard
-	now   time.Duration
-	slots []*slot
+	s      *Shard
+	now    time.Duration
+	slots  []*slot
+	images []string // of the filling runs that wait
+	gentle bool     // only filling runs that press little on those that serve
 	// full holds, per filling image, the smallest needs that found no slot.
 	full map[string]resource.Vector
 }
 
-func (s *Shard) newPass(now time.Duration) *pass {
-	return &pass{s: s, now: now, slots: s.slots(now), full: map[string]resource.Vector{}}
+func (s *Shard) newPass(ready []*candidate, now time.Duration) *pass {
+	p := &pass{s: s, now: now, slots: s.slots(now), full: map[string]resource.Vector{}}
+	for _, c := range ready {
+		if c.step().Fills && !slices.Contains(p.images, c.step().Image) {
+			p.images = append(p.images, c.step().Image)
+		}
+	}
+	return p
 }
 
 // placeCandidate places the tasks of c, frees room for them, or leaves them
@@ -200,6 +224,9 @@
 		return
 	}
 	for _, t := range c.tasks {
+		if t.Phase != workload.Pending {
+			continue // placed by the gentle run
+		}
 		sl := p.best(t, q, p.slots, "", tickets)
 		if sl == nil {
 			p.unplaced(c, t, q, tickets)
@@ -240,7 +267,7 @@
 		}
 		price := 0.0
 		for _, f := range scorers {
-			price += f(t, sl, p.s)
+			price += f(t, sl, p)
 		}
 		if found == nil || price < lowest {
 			found, lowest = sl, price
@@ -263,12 +290,28 @@
 	if sl.serves == 0 {
 		return true
 	}
-	most, ok := sl.bearable[t.step.Image]
+	if p.gentle && p.s.images.worstStrain(t, sl.host) > gentleStrain {
+		return false
+	}
+	return share(t, sl.host) <= p.bearable(t.step.Image, sl)
+}
+
+// gentleStrain is the utilisation that a filling run may add where others that
+// press less may still want the host.
+const gentleStrain = 0.06
+
+// bearable returns the share of sl's processors that a run of a filling image
+// may use.
+func (p *pass) bearable(image string, sl *slot) float64 {
+	if sl.serves == 0 {
+		return 1
+	}
+	most, ok := sl.bearable[image]
 	if !ok {
-		most = p.s.images.bearable(t.step.Image, sl.host, p.now)
-		sl.bearable[t.step.Image] = most
+		most = p.s.images.bearable(image, sl.host, p.now)
+		sl.bearable[image] = most
 	}
-	return share(t, sl.host) <= most
+	return most
 }
 
 func passes(t *task, q *fleet.Queue, sl *slot) bool {
@@ -329,6 +372,9 @@
 	var chosen []*slot
 	perHost := map[*slot]int{}
 	for _, t := range c.tasks {
+		if t.Phase != workload.Pending {
+			continue // placed by the gentle run
+		}
 		sl := p.best(t, q, trial, rack, tickets)
 		if sl == nil {
 			return nil
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -6,13 +6,14 @@
 	"time"
 
 	"skylarkport/internal/contract/fleet"
+	"skylarkport/internal/resource"
 	"skylarkport/internal/workload"
 )
 
 // Urgency classes of startable tasks, the first to be placed first.
 const (
-	classLasting  = iota // users wait for it all the time
-	classOnTime          // its job can still end in time
+	classOnTime   = iota // its job can still end in time; it is short and soon gives its room back
+	classLasting         // users wait for it all the time
 	classLate            // its job can still end within lateFactor times its time
 	classHopeless        // only the job's completion counts any more
 )
@@ -49,12 +50,21 @@
 	if len(ready) == 0 {
 		return
 	}
-	p := s.newPass(now)
-	cfg := s.cfg.Config()
+	p := s.newPass(ready, now)
+	p.gentle = true
+	p.run(ready)
+	p.gentle = false
+	p.full = map[string]resource.Vector{}
+	p.run(slices.DeleteFunc(ready, func(c *candidate) bool { return !c.step().Fills }))
+}
+
+// run places the candidates in their order.
+func (p *pass) run(ready []*candidate) {
+	cfg := p.s.cfg.Config()
 	for _, c := range ready {
 		q := queueOf(cfg, c.job)
 		if q == nil {
-			s.later(now + configPause)
+			p.s.later(p.now + configPause)
 			continue // the queue is not configured: its tasks wait for it to return
 		}
 		p.placeCandidate(c, q)
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -22,12 +22,14 @@
 	TableAccepted = "accepted"
 	TableProgress = "progress"
 	TableInbox    = "inbox"
+	TableImages   = "images"
 )
 
 // Keys of the single rows of a shard's part, and the prefixes of inbox keys.
 const (
 	KeyOwner    = "owner"
 	KeyBeat     = "beat"
+	KeyImages   = "images"
 	InboxSubmit = "submit/"
 	InboxCancel = "cancel/"
 )
@@ -88,6 +90,7 @@
 	hostWG     sync.WaitGroup
 	loaded     chan struct{}
 	images     imageBook
+	bookAt     time.Duration // when it was last stored
 	summarized time.Duration
 	advised    map[string]*advice
 	cause      error // why the shard ended
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -28,7 +28,7 @@
 		if !h.takes(now) {
 			continue
 		}
-		idle := h.Capacity.MilliCPU - h.usedCPU(&s.images)
+		idle := h.Capacity.MilliCPU - h.usedCPU()
 		capacity += h.Capacity.MilliCPU
 		serves := false
 		for _, t := range h.tasks {
--- a/internal/dispatch/tails.go
+++ b/internal/dispatch/tails.go
@@ -53,12 +53,17 @@
 		return
 	}
 	h.filledAt = now
-	if fresh {
+	if load, ok := s.ownLoad(t, now); ok {
+		t.load = load
+		if !fresh {
+			s.images.learn(t.step.Image, u-load, filling, h)
+		}
 		return
 	}
-	if load, ok := s.ownLoad(t, now); ok {
-		s.images.learn(t.step.Image, u-load, filling, h)
+	for _, f := range filling {
+		u -= s.images.strain(f, t, h)
 	}
+	t.load = max(0, u)
 }
 
 // ownLoad is the load of a serving run without its neighbours: as its siblings
