Pending jobs are counted where they are known; squeezed starts in an idle installation

Ruled out: slow owners (counts come from memory). Change: counts per shard with an age, 503 where one is unknown; begun when a run is seen; one slowed run of a starved job while half of the room is free.

--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -39,6 +39,7 @@
 	s.cfg.Metrics.RunEnded(e.Kind)
 	logger.WithField("task", e.Task).WithField("run", e.Run).WithField("worker", h.ID).WithField("how", string(e.Kind)).Debug("run ended")
 	s.judge(h, t, e.Kind, now)
+	j.begun = true
 	wasPlaced := t.Phase == workload.Placed
 	s.release(t, now)
 	switch e.Kind {
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -175,7 +175,7 @@
 // seeRun notes that t runs.
 func (s *Shard) seeRun(t *task, r fleet.RunReport, now time.Duration) {
 	if t.stage != stageRunning {
-		t.stage, t.since, t.progressed = stageRunning, now, now
+		t.confirm(now)
 	}
 	if r.Percent != t.percent {
 		t.percent, t.progressed = r.Percent, now
@@ -186,6 +186,12 @@
 	t.gauge = r.Gauge
 }
 
+// confirm notes that the worker has begun the run of t.
+func (t *task) confirm(now time.Duration) {
+	t.stage, t.since, t.progressed = stageRunning, now, now
+	t.job.begun = true
+}
+
 // absent reports whether a list that was asked for at sent proves that the run
 // of t neither exists nor will.
 func (s *Shard) absent(t *task, sent time.Duration) bool {
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -124,8 +124,9 @@
 	t.stage, t.since = stagePlanned, now
 	t.stopWanted, t.preempted, t.stopSent, t.stopAnswer = false, false, 0, 0
 	t.percent, t.progressed, t.gauge, t.pace, t.overTarget, t.loadAt = 0, now, 0, 0, 0, 0
+	t.startPace = 0
 	h.tasks[t.name] = t
-	t.job.begun, t.job.dirty = true, true
+	t.job.dirty = true
 	if t.job.rec.State == workload.Queued {
 		t.job.rec.State = workload.Running
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -30,7 +30,7 @@
 	shown    workload.State  // the newest durable state
 	stored   bool            // the accepted row is durable
 	dirty    bool            // the progress differs from the stored row
-	begun    bool            // a task has been placed at some time
+	begun    bool            // a run has been seen at some time
 	waiters  []chan<- error  // callers that wait for the next commit
 }
 
@@ -57,6 +57,7 @@
 	load       float64       // utilisation without filling neighbours, at loadAt
 	loadAt     time.Duration
 	pacedAt    time.Duration
+	startPace  int    // share of full speed to order at the start, in percent; 0 for all
 	avoid      string // worker on which the last run failed
 	notBefore  time.Duration
 	pace       int // share of full speed that was ordered, 1 to 100; 0 for never
@@ -96,9 +97,9 @@
 			id := workload.TaskID{Job: j.spec.ID, Occurrence: k, Step: si, Index: i}
 			t := &task{id: id, name: id.String(), job: j, step: &j.spec.Steps[si], Progress: &progress[len(tasks)], readyAt: now}
 			if t.Phase == workload.Placed {
-				t.stage, t.since, j.begun = stageAdopted, now, true
+				t.stage, t.since = stageAdopted, now
 			}
-			if t.Run > 0 {
+			if t.Phase == workload.Done || t.Run > 1 || t.Checkpoint != "" {
 				j.begun = true
 			}
 			tasks = append(tasks, t)
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -66,7 +66,10 @@
 		return
 	}
 	if err == nil && r == fleet.StartAccepted {
-		t.stage, t.since, t.progressed = stageRunning, now, now
+		t.confirm(now)
+		if t.startPace > 0 {
+			s.setPace(t, h, t.startPace, now)
+		}
 		h.kick()
 		return
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -191,6 +191,7 @@
 	now    time.Duration
 	slots  []*slot
 	images []string // of the filling runs that wait
+	busy   bool     // half of the processors or more are committed
 	gentle bool     // only filling runs that press little on those that serve
 	// full holds, per filling image, the smallest needs that found no slot.
 	full map[string]resource.Vector
@@ -198,6 +199,12 @@
 
 func (s *Shard) newPass(ready []*candidate, now time.Duration) *pass {
 	p := &pass{s: s, now: now, slots: s.slots(now), full: map[string]resource.Vector{}}
+	var free, whole int64
+	for _, sl := range p.slots {
+		free += sl.free.MilliCPU
+		whole += sl.host.Capacity.MilliCPU
+	}
+	p.busy = 2*free <= whole
 	for _, c := range ready {
 		if c.step().Fills && !slices.Contains(p.images, c.step().Image) {
 			p.images = append(p.images, c.step().Image)
@@ -221,6 +228,7 @@
 		return
 	}
 	if full, ok := p.full[c.step().Image]; ok && c.step().Fills && full.Fits(c.step().Needs) {
+		p.squeeze(c.first(), q)
 		return
 	}
 	for _, t := range c.tasks {
@@ -244,6 +252,7 @@
 		if t.avoid == "" {
 			p.full[t.step.Image] = t.step.Needs
 		}
+		p.squeeze(t, q)
 		return
 	}
 	if tickets == nil {
@@ -251,6 +260,42 @@
 	}
 }
 
+const (
+	// squeezeAfter is how long a job whose filling runs fit nowhere has nothing
+	// running until one is placed and slowed. The platform holds three seconds
+	// without a run, with room, for lost work.
+	squeezeAfter = 1200 * time.Millisecond
+	// leastPace is the least share of full speed, in percent, of a squeezed run.
+	leastPace = 10
+)
+
+// squeeze places one slowed run of a job that has had nothing running for a
+// while, where it presses least. It costs the serving runs more than it gains,
+// so it is kept for times with little else to do.
+func (p *pass) squeeze(t *task, q *fleet.Queue) {
+	if p.gentle || p.now-t.readyAt < squeezeAfter || p.busy || t.job.placed() > 0 {
+		return
+	}
+	var found *slot
+	most := 0.0
+	for _, sl := range p.slots {
+		if !passes(t, q, sl) || sl.host.ID == t.avoid {
+			continue
+		}
+		room := 2 + p.bearable(t.step.Image, sl)/share(t, sl.host) - p.s.images.worstStrain(t, sl.host)
+		if found == nil || room > most {
+			found, most = sl, room
+		}
+	}
+	if found == nil {
+		return
+	}
+	pace := int(100 * p.bearable(t.step.Image, found) / share(t, found.host))
+	found.take(t)
+	found.host.place(t, p.now)
+	t.startPace = min(100, max(leastPace, pace))
+}
+
 // best returns the slot for t, or nil.
 func (p *pass) best(t *task, q *fleet.Queue, slots []*slot, rack string, tickets map[string]string) *slot {
 	var found *slot
@@ -418,7 +463,7 @@
 // preempt stops runs of lower priority where the least work is lost by it.
 func (p *pass) preempt(c *candidate, t *task, q *fleet.Queue) {
 	s, now := p.s, p.now
-	if c.class > classOnTime {
+	if c.class > classLasting {
 		return
 	}
 	if now-t.readyAt < preemptWait && !t.step.Lasting {
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -320,17 +320,23 @@
 	logger.WithField("job", j.spec.ID).WithField("shard", s.cfg.Name).WithField("state", string(state)).Info("job ended")
 }
 
-// Pending counts, per queue, the accepted jobs without times that have not begun.
-func (s *Shard) Pending() map[string]int {
+// Pending counts, per queue, the accepted jobs without times of which no run has
+// been seen. It is false while the shard is not loaded.
+func (s *Shard) Pending() (map[string]int, bool) {
+	select {
+	case <-s.loaded:
+	default:
+		return nil, false
+	}
 	out := map[string]int{}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, j := range s.jobs {
-		if j.stored && j.active() && !j.begun {
+		if j.active() && !j.begun && !j.spec.Timed() {
 			out[j.spec.Queue]++
 		}
 	}
-	return out
+	return out, true
 }
 
 // Load is how much of the shard's capacity is committed and asked for.
--- a/internal/dispatch/tails.go
+++ b/internal/dispatch/tails.go
@@ -102,8 +102,8 @@
 		s.relieveOne(h, t, filling, u-limit+easeTo, now)
 	}
 	for _, f := range filling {
-		if roomy && f.pace > 0 && f.pace < 100 && !f.stopWanted {
-			s.setPace(f, h, 100, now)
+		if roomy && f.pace > 0 && f.pace < 100 && !f.stopWanted && now-f.pacedAt > settled {
+			s.setPace(f, h, min(100, 2*f.pace), now)
 		}
 	}
 }
@@ -125,7 +125,11 @@
 			continue
 		}
 		over -= s.images.strain(f, t, h)
-		if f.step.Checkpoints || f.pace == pacedTo || all {
+		if f.startPace > 0 && f.pace > leastPace {
+			s.setPace(f, h, max(leastPace, f.pace/3), now) // nothing else of its job runs
+			continue
+		}
+		if f.step.Checkpoints || f.pace > 0 && f.pace <= pacedTo || all {
 			f.stopWanted = true
 			s.inspectStop(f, h, now)
 			continue
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -24,8 +24,11 @@
 	tryPause = 80 * time.Millisecond
 	// maxHops bounds how often a job that moved between shards is followed.
 	maxHops = 3
-	// pendingFor is how long a count of pending jobs is used.
+	// pendingFor is how long a count of pending jobs is used without asking.
 	pendingFor = 700 * time.Millisecond
+	// pendingKept is how old a count may be where the owner does not answer; the
+	// platform's bound is two seconds.
+	pendingKept = 1800 * time.Millisecond
 )
 
 // Submit implements fleet.Jobs.
@@ -287,10 +290,10 @@
 	return err == nil, err
 }
 
-// pendingCounts caches what owners said.
+// pendingCounts caches what owners said, per shard.
 type pendingCounts struct {
-	mu     sync.Mutex
-	byPeer map[string]pendingCount
+	mu      sync.Mutex
+	byShard map[string]pendingCount
 }
 
 type pendingCount struct {
@@ -298,49 +301,64 @@
 	queues map[string]int
 }
 
+// take stores the counts of the shards that an owner has loaded.
+func (p *pendingCounts) take(shards map[string]map[string]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, queues := range shards {
+		p.byShard[name] = pendingCount{at: time.Now(), queues: queues}
+	}
+}
+
+// of returns a shard's count that is at most age old.
+func (p *pendingCounts) of(shard, queue string, age time.Duration) (int, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.byShard[shard]
+	return c.queues[queue], time.Since(c.at) <= age
+}
+
 // Pending implements fleet.Jobs.
 func (n *Node) Pending(ctx context.Context, queue string) (int, error) {
 	l := n.layout.Load()
 	if l == nil {
 		return 0, result.Errorf(result.NotReady, "the instance is starting")
 	}
-	sum := n.owners.pending()[queue]
-	asked := map[string]bool{n.self.Control: true}
-	counts := make(chan int, len(l.Shards()))
-	calls := 0
+	n.pendingCache.take(n.owners.pending())
+	n.askPending(ctx, l.Shards(), queue)
+	sum := 0
 	for _, shard := range l.Shards() {
+		c, ok := n.pendingCache.of(shard, queue, pendingKept)
+		if !ok {
+			return 0, result.Errorf(result.NotReady, "shard %s cannot be counted", shard)
+		}
+		sum += c
+	}
+	return sum, nil
+}
+
+// askPending asks the owners of the shards whose count is not fresh.
+func (n *Node) askPending(ctx context.Context, shards []string, queue string) {
+	var wg sync.WaitGroup
+	asked := map[string]bool{n.self.Control: true}
+	for _, shard := range shards {
 		own, ok := n.owners.of(shard)
-		if !ok || asked[own.Control] {
+		if _, fresh := n.pendingCache.of(shard, queue, pendingFor); fresh || !ok || asked[own.Control] {
 			continue
 		}
 		asked[own.Control] = true
-		calls++
-		go func() { counts <- n.pendingOf(ctx, own.Control, queue) }()
-	}
-	for range calls {
-		sum += <-counts
+		wg.Go(func() { n.askPendingOf(ctx, own.Control) })
 	}
-	return sum, nil
+	wg.Wait()
 }
 
-// pendingOf asks an owner, or uses what it said before.
-func (n *Node) pendingOf(ctx context.Context, control, queue string) int {
-	p := &n.pendingCache
-	p.mu.Lock()
-	have := p.byPeer[control]
-	p.mu.Unlock()
-	if time.Since(have.at) < pendingFor {
-		return have.queues[queue]
-	}
+func (n *Node) askPendingOf(ctx context.Context, control string) {
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
 	var r PendingReply
 	if err := n.peers.call(ctx, control, methodPending, struct{}{}, &r); err != nil {
-		logger.WithField("peer", control).WithError(err).Info("pending jobs were not counted; an older count is used")
-		return have.queues[queue]
+		logger.WithField("peer", control).WithError(err).Info("pending jobs were not counted")
+		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.byPeer[control] = pendingCount{at: time.Now(), queues: r.Queues}
-	return r.Queues[queue]
+	n.pendingCache.take(r.Shards)
 }
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -91,9 +91,9 @@
 	Raw []byte `json:"raw,omitempty"`
 }
 
-// PendingReply counts the jobs that have not begun, per queue.
+// PendingReply counts the jobs that have not begun, per shard and queue.
 type PendingReply struct {
-	Queues map[string]int `json:"queues,omitempty"`
+	Shards map[string]map[string]int `json:"shards,omitempty"`
 }
 
 // ClaimRequest asks an instance to take over a shard from its drained owner.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,7 +90,7 @@
 		self:            Instance{Name: s.Instance, Zone: s.Zone, Control: s.Control, Life: time.Now().UnixMilli()},
 		metrics:         newMetrics(m.Scope()),
 		dispatchMetrics: dispatch.NewMetrics(m.Scope().SubScope("shard")),
-		pendingCache:    pendingCounts{byPeer: map[string]pendingCount{}},
+		pendingCache:    pendingCounts{byShard: map[string]pendingCount{}},
 	}
 	n.peers, n.owners, n.configs = newPeers(n), newOwners(n), newConfigs(n)
 	return n
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -171,20 +171,21 @@
 	return out
 }
 
-// pending sums the jobs that have not begun over the shards owned here.
-func (o *owners) pending() map[string]int {
+// pending counts, per shard and queue, the jobs that have not begun in the
+// loaded shards of this instance.
+func (o *owners) pending() map[string]map[string]int {
 	o.mu.Lock()
-	var shards []*dispatch.Shard
-	for _, own := range o.shards {
+	shards := map[string]*dispatch.Shard{}
+	for name, own := range o.shards {
 		if own.shard != nil {
-			shards = append(shards, own.shard)
+			shards[name] = own.shard
 		}
 	}
 	o.mu.Unlock()
-	out := map[string]int{}
-	for _, s := range shards {
-		for q, c := range s.Pending() {
-			out[q] += c
+	out := map[string]map[string]int{}
+	for name, s := range shards {
+		if counts, ok := s.Pending(); ok {
+			out[name] = counts
 		}
 	}
 	return out
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -332,7 +332,7 @@
 	case methodCancel:
 		return handleWith(r, func(m *JobRequest) JobReply { return n.cancelHere(ctx, m) })
 	case methodPending:
-		return PendingReply{Queues: n.owners.pending()}, nil
+		return PendingReply{Shards: n.owners.pending()}, nil
 	case methodClaim:
 		return handleWith(r, func(m *ClaimRequest) Outcome { return outcomeOf(n.owners.claim(ctx, m)) })
 	}
--- a/internal/workload/spec.go
+++ b/internal/workload/spec.go
@@ -167,6 +167,9 @@
 				b.WriteString(p.letter)
 			}
 		}
+		if st.MissesAllowed > 0 {
+			fmt.Fprintf(&b, " misses%d", st.MissesAllowed)
+		}
 		if st.Image != "" {
 			fmt.Fprintf(&b, " %s<%d", st.Image, st.TargetMillis)
 		}
