Durations are predicted by queue; operators' pages for skylark-node

Cause: declared durations are far off, and the order of jobs rests on them. Change: a regression of logarithms per queue, and a step's own first whole run.

--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -41,6 +41,9 @@
 	s.judge(h, t, e.Kind, now)
 	j.begun = true
 	wasPlaced := t.Phase == workload.Placed
+	if e.Kind == fleet.EndDone && t.whole && t.stage == stageRunning {
+		s.sawDuration(t, now)
+	}
 	s.release(t, now)
 	switch e.Kind {
 	case fleet.EndDone:
@@ -54,6 +57,13 @@
 	}
 }
 
+// sawDuration notes how long a whole run took.
+func (s *Shard) sawDuration(t *task, now time.Duration) {
+	millis := (now - t.since).Milliseconds()
+	s.durations.saw(t.job.spec.Queue, t.step.EstimateMillis, millis)
+	t.job.seen[t.id.Step] = millis
+}
+
 // clear forgets a run that no longer matters on its host.
 func (s *Shard) clear(h *host, e fleet.EndReport) {
 	if t := h.tasks[e.Task]; t != nil && t.Run == e.Run {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -21,17 +21,16 @@
 
 // job is a job of the shard.
 type job struct {
-	spec     workload.Spec
-	rec      workload.Record
-	at       fleet.Clock // when it was accepted
-	priority int
-	chain    []int64         // per step, milliseconds to the end of the longest chain
-	tasks    map[int][]*task // runtime state beside rec.Tasks
-	shown    workload.State  // the newest durable state
-	stored   bool            // the accepted row is durable
-	dirty    bool            // the progress differs from the stored row
-	begun    bool            // a run has been seen at some time
-	waiters  []chan<- error  // callers that wait for the next commit
+	spec    workload.Spec
+	rec     workload.Record
+	at      fleet.Clock     // when it was accepted
+	seen    []int64         // per step, duration of a task that ran whole, milliseconds; 0 for none
+	tasks   map[int][]*task // runtime state beside rec.Tasks
+	shown   workload.State  // the newest durable state
+	stored  bool            // the accepted row is durable
+	dirty   bool            // the progress differs from the stored row
+	begun   bool            // a run has been seen at some time
+	waiters []chan<- error  // callers that wait for the next commit
 }
 
 // task is a task of a job.
@@ -53,6 +52,7 @@
 	progressed time.Duration // when percent last changed
 	gauge      float64
 	ticket     string
+	whole      bool          // the run started without a checkpoint and was not slowed
 	overTarget time.Duration // since when the tail is over its target, 0 for not
 	load       float64       // utilisation without filling neighbours, at loadAt
 	loadAt     time.Duration
@@ -66,7 +66,7 @@
 // newJob returns a job without occurrences.
 func newJob(spec workload.Spec, at fleet.Clock) *job {
 	return &job{
-		spec: spec, at: at, chain: spec.ChainMillis(), tasks: map[int][]*task{},
+		spec: spec, at: at, seen: make([]int64, len(spec.Steps)), tasks: map[int][]*task{},
 		rec: workload.Record{State: workload.Queued}, shown: workload.Queued,
 	}
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -35,6 +35,7 @@
 		return
 	}
 	t.stage, t.since = stageSent, now
+	t.whole = t.Checkpoint == "" && t.startPace == 0 && !t.step.Lasting
 	order := fleet.Start{
 		Worker: h.Worker, Task: t.name, Run: t.Run, Payload: t.job.spec.Payload,
 		Checkpoint: t.Checkpoint, Ticket: t.ticket, Epoch: s.cfg.Epoch,
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -200,10 +200,11 @@
 		c.class = classLasting
 		return c
 	}
-	longest := slices.Max(j.chain)
+	chain := s.durations.chain(j)
+	longest := slices.Max(chain)
 	whole := time.Duration(float64(longest)*allowed)*time.Millisecond + target
 	spent := s.age(j, k)
-	left := time.Duration(j.chain[step]) * time.Millisecond
+	left := time.Duration(chain[step]) * time.Millisecond
 	c.slack = whole - spent - left
 	switch {
 	case c.slack >= 0:
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -90,6 +90,7 @@
 	hostWG     sync.WaitGroup
 	loaded     chan struct{}
 	images     imageBook
+	durations  durations
 	bookAt     time.Duration // when it was last stored
 	summarized time.Duration
 	advised    map[string]*advice
@@ -104,7 +105,7 @@
 		cfg: cfg, jobs: map[string]*job{}, hosts: map[string]*host{},
 		inboxGone: map[string]bool{}, dropped: map[string]bool{},
 		wake: make(chan struct{}, 1), loaded: make(chan struct{}), idle: make(chan struct{}),
-		images: newImageBook(), advised: map[string]*advice{},
+		images: newImageBook(), durations: newDurations(), advised: map[string]*advice{},
 	}
 }
 
--- a/internal/dispatch/tails.go
+++ b/internal/dispatch/tails.go
@@ -143,7 +143,7 @@
 	if t.pace == percent || t.stage != stageRunning {
 		return
 	}
-	t.pace, t.pacedAt = percent, now
+	t.pace, t.pacedAt, t.whole = percent, now, false
 	order := fleet.Order{Worker: h.Worker, Task: t.name, Run: t.Run, Epoch: s.cfg.Epoch}
 	s.hostWG.Go(func() {
 		ctx, cancel := context.WithTimeout(s.hostCtx, orderTimeout)
--- a/internal/obs/docs_test.go
+++ b/internal/obs/docs_test.go
@@ -14,7 +14,7 @@
 	metricCall = regexp.MustCompile(`\.(?:Counter|Gauge|Timer|Histogram)\("(\w+)"|obs\.NewLatencies\([^,]+, "(\w+)"`)
 	scopeCall  = regexp.MustCompile(`\.SubScope\("(\w+)"\)`)
 	loggerCall = regexp.MustCompile(`\bLogger\("(\w+)"\)`)
-	pageMetric = regexp.MustCompile("`skylark_(?:entry|scheduler)_(\\w+)`")
+	pageMetric = regexp.MustCompile("`skylark_(?:entry|scheduler|node)_(\\w+)`")
 )
 
 // sources returns the code of the programs without tests, and without this
@@ -38,10 +38,10 @@
 	return b.String()
 }
 
-// TestPage fails where docs/OPERATORS.md lacks a metric or a log prefix of the
+// TestPage fails where docs/OPERATIONS.md lacks a metric or a log prefix of the
 // code, or names a metric that the code does not have.
 func TestPage(t *testing.T) {
-	body, err := os.ReadFile("../../docs/OPERATORS.md")
+	body, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/settings/docs_test.go
+++ b/internal/settings/docs_test.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, typ := range []reflect.Type{reflect.TypeFor[Entry](), reflect.TypeFor[Scheduler]()} {
+	for _, typ := range []reflect.Type{reflect.TypeFor[Entry](), reflect.TypeFor[Scheduler](), reflect.TypeFor[Node]()} {
 		for _, path := range leaves(typ, "") {
 			name := path[strings.LastIndex(path, ".")+1:]
 			if !strings.Contains(string(page), "`"+path+"`") && !strings.Contains(string(page), "`."+name+"`") && !strings.Contains(string(page), `"`+name+`":`) {
--- a/internal/workload/spec.go
+++ b/internal/workload/spec.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"skylarkport/internal/resource"
@@ -131,20 +132,18 @@
 	return nil
 }
 
-// ChainMillis returns, per step, the declared time from the step's start to the
-// end of the longest chain of steps that begins with it.
-func (s *Spec) ChainMillis() []int64 {
-	chain := make([]int64, len(s.Steps))
-	for i := len(s.Steps) - 1; i >= 0; i-- {
+// Chain returns, per step, the time from its start to the end of the longest
+// chain of steps that begins with it, by the durations that of returns.
+func Chain(steps []Step, of func(step int) int64) []int64 {
+	chain := make([]int64, len(steps))
+	for i := len(steps) - 1; i >= 0; i-- {
 		longest := int64(0)
-		for j := i + 1; j < len(s.Steps); j++ {
-			for _, a := range s.Steps[j].After {
-				if a == i {
-					longest = max(longest, chain[j])
-				}
+		for j := i + 1; j < len(steps); j++ {
+			if slices.Contains(steps[j].After, i) {
+				longest = max(longest, chain[j])
 			}
 		}
-		chain[i] = longest + s.Steps[i].EstimateMillis
+		chain[i] = longest + of(i)
 	}
 	return chain
 }
