--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -167,3 +167,5 @@
 
 // settle gives the shard time to see the workers.
 func (w *world) settle() { time.Sleep(1500 * time.Millisecond) }
+
+func noMetrics() *Metrics { return NewMetrics(tally.NoopScope) }
--- /dev/null
+++ b/internal/dispatch/policy_test.go
@@ -0,0 +1,294 @@
+package dispatch
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"skylarkport/internal/contract/fleet"
+	"skylarkport/internal/resource"
+	"skylarkport/internal/workload"
+)
+
+// fixture is a shard without a store or workers, at a fixed time.
+type fixture struct {
+	*Shard
+	now time.Duration
+}
+
+func newFixture(hosts int) *fixture {
+	cfg := &fleet.Config{Queues: []fleet.Queue{
+		{Name: "short", Service: "svc", Slack: 1.5, Target: 250 * time.Millisecond, Attempts: 3},
+		{Name: "batch", Service: "svc", Priority: 2, Slack: 2, Target: time.Second, Attempts: 3},
+	}}
+	f := &fixture{now: time.Hour}
+	f.Shard = New(Settings{
+		Name: "s", Config: func() *fleet.Config { return cfg },
+		Steady: func() time.Duration { return f.now },
+		Unix:   func(c fleet.Clock) time.Time { return time.UnixMilli(int64(c)) },
+		Bounds: Bounds{LeaseMax: 6 * time.Second, Impact: 4 * time.Second},
+	})
+	for i := range hosts {
+		h := newHost(fleet.Worker{
+			ID: fmt.Sprintf("w%d", i), Service: "svc", Rack: fmt.Sprintf("r%d", i/2), Labels: []string{"a"},
+			Capacity: resource.Vector{MilliCPU: 10000, MemoryMB: 100000},
+		})
+		h.listed, h.seen = true, true
+		f.hosts[h.ID] = h
+	}
+	return f
+}
+
+// add admits a job of one step.
+func (f *fixture) add(id, queue string, st workload.Step) *job {
+	if st.Needs.IsZero() {
+		st.Needs = resource.Vector{MilliCPU: 1000, MemoryMB: 1000}
+	}
+	if st.EstimateMillis == 0 {
+		st.EstimateMillis = 500
+	}
+	return f.admit(workload.Spec{ID: id, Queue: queue, Steps: []workload.Step{st}}, f.storeNow())
+}
+
+// run marks every placed task as confirmed by its worker.
+func (f *fixture) run() {
+	for _, h := range f.hosts {
+		for _, t := range h.tasks {
+			t.confirm(f.now)
+			t.percent = atWork
+		}
+	}
+}
+
+func (f *fixture) at(j *job, i int) string { return j.tasks[0][i].Worker }
+
+func TestPlacement(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		step   workload.Step
+		change func(f *fixture)
+		placed int
+		check  func(f *fixture, j *job) bool
+	}{
+		{name: "fits", step: workload.Step{Tasks: 3}, placed: 3},
+		{name: "more than the room", step: workload.Step{Tasks: 50}, placed: 40},
+		{name: "apart", step: workload.Step{Tasks: 10, MaxPerWorker: 2}, placed: 8},
+		{name: "label", step: workload.Step{Tasks: 2, Label: "b"}, placed: 0},
+		{name: "larger than any worker", step: workload.Step{Tasks: 1, Needs: resource.Vector{MilliCPU: 11000}}, placed: 0},
+		{name: "accelerator", step: workload.Step{Tasks: 1, Needs: resource.Vector{Accelerators: 1}}, placed: 0},
+		{name: "rack", step: workload.Step{Tasks: 4, Rack: "r1"}, placed: 4, check: func(f *fixture, j *job) bool {
+			return f.at(j, 0) >= "w2" && f.at(j, 3) >= "w2"
+		}},
+		{name: "draining", step: workload.Step{Tasks: 4}, change: func(f *fixture) { f.hosts["w0"].Draining = true }, placed: 4, check: func(f *fixture, j *job) bool {
+			return len(f.hosts["w0"].tasks) == 0
+		}},
+		{name: "silent", step: workload.Step{Tasks: 4}, change: func(f *fixture) { f.hosts["w0"].silent = 1 }, placed: 4, check: func(f *fixture, j *job) bool {
+			return len(f.hosts["w0"].tasks) == 0
+		}},
+		{name: "set aside", step: workload.Step{Tasks: 4}, change: func(f *fixture) { f.hosts["w0"].quarantine = f.now + 1 }, placed: 4, check: func(f *fixture, j *job) bool {
+			return len(f.hosts["w0"].tasks) == 0
+		}},
+		{name: "gang of all or none", step: workload.Step{Tasks: 41, Gang: true}, placed: 0},
+		{name: "gang in one rack", step: workload.Step{Tasks: 20, Gang: true, OneRack: true}, placed: 20, check: func(f *fixture, j *job) bool {
+			return f.hosts[f.at(j, 0)].Rack == f.hosts[f.at(j, 19)].Rack && j.tasks[0][0].Run == j.tasks[0][19].Run
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(4)
+			if c.change != nil {
+				c.change(f)
+			}
+			j := f.add("j", "batch", c.step)
+			f.plan(f.now)
+			if n := j.placed(); n != c.placed {
+				t.Fatalf("%d placed, want %d", n, c.placed)
+			}
+			if c.check != nil && !c.check(f, j) {
+				t.Error("placed elsewhere than wanted")
+			}
+		})
+	}
+}
+
+// TestOrder plays a worker with room for one task and several jobs that wait.
+func TestOrder(t *testing.T) {
+	whole := resource.Vector{MilliCPU: 9000, MemoryMB: 1000}
+	for _, c := range []struct {
+		name  string
+		jobs  func(f *fixture)
+		first string
+	}{
+		{"priority", func(f *fixture) {
+			f.add("a", "batch", workload.Step{Tasks: 1, Needs: whole})
+			f.add("b", "short", workload.Step{Tasks: 1, Needs: whole})
+		}, "b"},
+		{"least slack", func(f *fixture) {
+			f.add("a", "batch", workload.Step{Tasks: 1, Needs: whole, EstimateMillis: 3000})
+			f.add("b", "batch", workload.Step{Tasks: 1, Needs: whole, EstimateMillis: 500})
+		}, "b"},
+		{"in time before late", func(f *fixture) {
+			f.add("a", "batch", workload.Step{Tasks: 1, Needs: whole}).at -= 2500
+			f.add("b", "batch", workload.Step{Tasks: 1, Needs: whole})
+		}, "b"},
+		{"late before hopeless", func(f *fixture) {
+			f.add("a", "batch", workload.Step{Tasks: 1, Needs: whole}).at -= 60000
+			f.add("b", "batch", workload.Step{Tasks: 1, Needs: whole}).at -= 2500
+		}, "b"},
+		{"short before lasting", func(f *fixture) {
+			f.add("a", "short", workload.Step{Tasks: 1, Needs: whole, Lasting: true})
+			f.add("b", "short", workload.Step{Tasks: 1, Needs: whole})
+		}, "b"},
+		{"lasting before late", func(f *fixture) {
+			f.add("a", "short", workload.Step{Tasks: 1, Needs: whole}).at -= 60000
+			f.add("b", "short", workload.Step{Tasks: 1, Needs: whole, Lasting: true})
+		}, "b"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(1)
+			c.jobs(f)
+			f.plan(f.now)
+			if f.jobs[c.first].placed() != 1 {
+				t.Errorf("job %s was not first", c.first)
+			}
+		})
+	}
+}
+
+// sharingFixture has a serving run of image "s" with a tail target on each host.
+func sharingFixture(hosts int, tail float64) *fixture {
+	f := newFixture(hosts)
+	f.add("serve", "short", workload.Step{Tasks: hosts, MaxPerWorker: 1, Lasting: true, Image: "s", TargetMillis: 150, Needs: resource.Vector{MilliCPU: 2000, MemoryMB: 1000}})
+	f.plan(f.now)
+	f.run()
+	f.images.quiet["s"] = 33.3 // the tail without any load is 25 ms
+	for _, h := range f.hosts {
+		for _, t := range h.tasks {
+			t.gauge = tail
+		}
+		f.watchTails(h, f.now)
+	}
+	return f
+}
+
+func TestLearning(t *testing.T) {
+	for _, want := range []float64{0.2, 3} {
+		f := sharingFixture(2, 50)
+		fill := &task{step: &workload.Step{Fills: true, Image: "f", Needs: resource.Vector{MilliCPU: 1000}}, Progress: &workload.Progress{}}
+		for range 60 {
+			f.images.learn("s", want*0.1, []*task{fill}, f.hosts["w0"])
+		}
+		if got := f.images.weight(imagePair{"f", "s"}).mean; math.Abs(got-want) > 0.15*want+0.05 {
+			t.Errorf("weight %.2f, want %.2f", got, want)
+		}
+	}
+}
+
+func TestFillingKeepsAwayFromHarm(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		weight float64
+		tail   float64
+		placed bool
+	}{
+		{"harmless", 0.2, 60, true},
+		{"heavy at low load", 3, 33, true},
+		{"heavy at high load", 3, 90, false},
+		{"tail over its target", 0.2, 200, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := sharingFixture(1, c.tail)
+			f.images.pairs[imagePair{"f", "s"}] = weight{c.weight, 0.01}
+			j := f.add("fill", "batch", workload.Step{Tasks: 1, Fills: true, Image: "f"})
+			f.plan(f.now)
+			if got := j.placed() == 1; got != c.placed {
+				t.Errorf("placed %v, want %v", got, c.placed)
+			}
+		})
+	}
+}
+
+// TestStarvedFillStartsSlowed: where most of the room is free, a job whose runs fit
+// beside no serving run gets one that is slowed.
+func TestStarvedFillStartsSlowed(t *testing.T) {
+	f := sharingFixture(1, 90)
+	f.images.pairs[imagePair{"f", "s"}] = weight{5, 0.01}
+	j := f.add("fill", "batch", workload.Step{Tasks: 2, Fills: true, Image: "f"})
+	f.plan(f.now)
+	if j.placed() != 0 {
+		t.Fatal("placed at once")
+	}
+	f.now += squeezeAfter + time.Millisecond
+	f.plan(f.now)
+	if j.placed() != 1 {
+		t.Fatalf("%d placed, want 1", j.placed())
+	}
+	if p := j.tasks[0][0].startPace; p < leastPace || p >= 100 {
+		t.Errorf("starts at %d%%", p)
+	}
+}
+
+// TestRelief: a tail over its target takes the run that presses most off the worker.
+func TestRelief(t *testing.T) {
+	f := sharingFixture(1, 40)
+	f.images.pairs[imagePair{"light", "s"}] = weight{0.1, 0.01}
+	f.images.pairs[imagePair{"heavy", "s"}] = weight{2, 0.01}
+	light := f.add("a", "batch", workload.Step{Tasks: 1, Fills: true, Checkpoints: true, Image: "light"})
+	heavy := f.add("b", "batch", workload.Step{Tasks: 1, Fills: true, Checkpoints: true, Image: "heavy"})
+	f.plan(f.now)
+	f.run()
+	h := f.hosts["w0"]
+	h.Address = "" // stops are not sent in this test
+	for _, t := range h.tasks {
+		if t.serving() {
+			t.gauge = 160
+		}
+	}
+	f.now += time.Second
+	f.watchTails(h, f.now)
+	if !heavy.tasks[0][0].stopWanted || light.tasks[0][0].stopWanted {
+		t.Errorf("stopped: heavy %v, light %v", heavy.tasks[0][0].stopWanted, light.tasks[0][0].stopWanted)
+	}
+}
+
+func TestDurations(t *testing.T) {
+	d := newDurations()
+	if got := d.predict("q", 700); got != 700 {
+		t.Errorf("without runs %d, want what is declared", got)
+	}
+	for i := range 100 {
+		d.saw("q", int64(100+50*i), 2000) // what is declared says nothing
+	}
+	if got := d.predict("q", 9000); got < 1900 || got > 2100 {
+		t.Errorf("%d, want 2000", got)
+	}
+	for i := range 100 {
+		d.saw("r", int64(100+50*i), 2*int64(100+50*i))
+	}
+	if got := d.predict("r", 1000); got < 1900 || got > 2100 {
+		t.Errorf("%d, want twice what is declared", got)
+	}
+}
+
+func TestStrikes(t *testing.T) {
+	f := newFixture(1)
+	h := f.hosts["w0"]
+	f.cfg.Metrics = noMetrics()
+	fail := func(id string, failures int) {
+		j := f.add(id, "batch", workload.Step{Tasks: 1})
+		j.tasks[0][0].Failures = failures
+		f.judge(h, j.tasks[0][0], fleet.EndFailed, f.now)
+	}
+	for i := range 10 {
+		fail(fmt.Sprint("repeat", i), 1)
+	}
+	fail("a", 0)
+	fail("b", 0)
+	if h.quarantine != 0 {
+		t.Fatal("set aside after two failures")
+	}
+	fail("c", 0)
+	if h.quarantine <= f.now {
+		t.Fatal("not set aside after three failures of different jobs")
+	}
+}
--- a/internal/dispatch/shard_test.go
+++ b/internal/dispatch/shard_test.go
@@ -1,12 +1,14 @@
 package dispatch
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"skylarkport/internal/fleetfake"
 	"skylarkport/internal/resource"
+	"skylarkport/internal/result"
 	"skylarkport/internal/workload"
 )
 
@@ -195,3 +197,23 @@
 		}
 	})
 }
+
+// TestRefusedJobNeverRuns: a job that is refused because the store is away does not
+// run when the store is back.
+func TestRefusedJobNeverRuns(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		w.settle()
+		storeFault(fleetfake.Refused)(w)
+		ctx, cancel := context.WithTimeout(w.ctx, 2*time.Second)
+		defer cancel()
+		err := w.owner.Submit(ctx, steps("a", "short", 1))
+		if result.Of(err) != result.JobNotStored {
+			t.Fatalf("got %v, want the code JobNotStored", err)
+		}
+		noStoreFault(w)
+		time.Sleep(5 * time.Second)
+		if w.workers.Starts != 0 {
+			t.Error("a refused job was started")
+		}
+	})
+}
