Revert: headroom follows the trend of a load

Cause of the try: loads swing with a period of 10 to 20 s while filling runs last 2 s. The trend of noisy readings mostly adds margin, and margin costs most. Conclusion: reverted.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -57,9 +57,6 @@
 	load       float64       // utilisation without filling neighbours, at loadAt
 	loadAt     time.Duration
 	pacedAt    time.Duration
-	trend      float64 // change of load per second
-	trendLoad  float64 // load at trendAt
-	trendAt    time.Duration
 	startPace  int    // share of full speed to order at the start, in percent; 0 for all
 	avoid      string // worker on which the last run failed
 	notBefore  time.Duration
--- a/internal/dispatch/sharing.go
+++ b/internal/dispatch/sharing.go
@@ -25,12 +25,7 @@
 	// another pair: what disturbs changes with time.
 	weightDrift = 0.002
 	// loadMargin covers the growth of a load during the run to be placed.
-	loadMargin = 0.02
-	// growthAhead is how far ahead a load's trend is followed, about the duration
-	// of a filling run, within bounds that keep a noisy trend harmless.
-	growthAhead = 1500 * time.Millisecond
-	growthMin   = -0.05
-	growthMax   = 0.15
+	loadMargin = 0.04
 	// settled is how long after a run's start its influence is seen in a tail.
 	settled = 700 * time.Millisecond
 	// cleanFor is how long a reading without filling neighbours tells the load.
@@ -187,8 +182,7 @@
 			u += b.strain(f, t, h)
 		}
 	}
-	growth := min(growthMax, max(growthMin, t.trend*growthAhead.Seconds()))
-	return b.limit(t.step.Image, float64(t.step.TargetMillis)) - loadMargin - growth - u
+	return b.limit(t.step.Image, float64(t.step.TargetMillis)) - loadMargin - u
 }
 
 // bearable is the share of h's processors that one more run of a filling image
--- a/internal/dispatch/tails.go
+++ b/internal/dispatch/tails.go
@@ -45,7 +45,6 @@
 
 // learnTail takes in one reading.
 func (s *Shard) learnTail(h *host, t *task, filling []*task, fresh bool, now time.Duration) {
-	defer t.follow(now)
 	u := s.images.utilisation(t.step.Image, t.gauge)
 	if len(filling) == 0 {
 		if now-h.filledAt > settled {
@@ -67,27 +66,6 @@
 	t.load = max(0, u)
 }
 
-// Times of the trend of a load.
-const (
-	trendStep  = 500 * time.Millisecond // least time between the readings compared
-	trendGap   = 4 * time.Second        // beyond it the trend begins anew
-	trendShare = 0.5                    // weight of the newest change
-)
-
-// follow updates the trend of the load of t.
-func (t *task) follow(now time.Duration) {
-	d := now - t.trendAt
-	if d < trendStep {
-		return
-	}
-	if t.trendAt == 0 || d > trendGap {
-		t.trend = 0
-	} else {
-		t.trend += trendShare * ((t.load-t.trendLoad)/d.Seconds() - t.trend)
-	}
-	t.trendLoad, t.trendAt = t.load, now
-}
-
 // ownLoad is the load of a serving run without its neighbours: as its siblings
 // on hosts without filling runs show it, or as it was a moment ago.
 func (s *Shard) ownLoad(t *task, now time.Duration) (float64, bool) {
