--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -22,6 +22,9 @@
 	beatInterval = 500 * time.Millisecond
 	// commitTimeout bounds one try; the store answers in some 10 ms.
 	commitTimeout = 600 * time.Millisecond
+	// commitSlow is how long a commit may stay unanswered until jobs behind it are
+	// refused; a slow store takes a quarter of a second.
+	commitSlow = 450 * time.Millisecond
 	// Pauses between tries of a commit.
 	commitRetryMin = 40 * time.Millisecond
 	commitRetryMax = 300 * time.Millisecond
@@ -157,6 +160,7 @@
 	if !j.stored {
 		size += b.put(TableAccepted, j.spec.ID, workload.Accepted{Spec: j.spec, AtMillis: int64(j.at)})
 		b.fresh = append(b.fresh, j)
+		j.sent = true
 	}
 	size += b.put(TableProgress, j.spec.ID, j.rec)
 	j.dirty = false
@@ -202,6 +206,8 @@
 	uncertain := false
 	wait := commitRetryMin
 	b.since = s.now()
+	s.setCommitting(b.since)
+	defer s.setCommitting(0)
 	for {
 		tctx, cancel := context.WithTimeout(ctx, commitTimeout)
 		res, err := s.cfg.Store.Commit(tctx, b.tx)
@@ -234,6 +240,31 @@
 	}
 }
 
+// setCommitting notes since when a commit is under way, 0 for none.
+func (s *Shard) setCommitting(since time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.committing = since
+}
+
+// storeAway reports whether a new job could not be stored soon: commits fail, or
+// one stays unanswered. The caller holds the lock.
+func (s *Shard) storeAway(now time.Duration) bool {
+	return s.storeLost > 0 && now-s.storeLost > storeAwayAfter || s.committing > 0 && now-s.committing > commitSlow
+}
+
+// refuseUnsent refuses the jobs that no commit has carried, so that their callers
+// learn at once that they did not run. The caller holds the lock.
+func (s *Shard) refuseUnsent() {
+	for _, j := range s.jobs {
+		if j.stored || j.sent || len(j.waiters) == 0 {
+			continue
+		}
+		s.forget(j)
+		j.answer(result.Errorf(result.JobNotStored, "the store is away"))
+	}
+}
+
 // outcome returns the beat row's version if b is applied, else how the shard
 // lost its ownership.
 func (s *Shard) outcome(b *batch, res fleet.TxResult) (int64, string) {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -28,6 +28,7 @@
 	tasks   map[int][]*task // runtime state beside rec.Tasks
 	shown   workload.State  // the newest durable state
 	stored  bool            // the accepted row is durable
+	sent    bool            // a commit with the accepted row was sent
 	dirty   bool            // the progress differs from the stored row
 	begun   bool            // a run has been seen at some time
 	waiters []chan<- error  // callers that wait for the next commit
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -142,6 +142,9 @@
 // reports whether a plan may change.
 func (s *Shard) inspect(now time.Duration) bool {
 	again := s.planAgain > 0 && now >= s.planAgain
+	if s.storeAway(now) {
+		s.refuseUnsent()
+	}
 	for id, h := range s.hosts {
 		lapsed := h.silent > 0 && now > h.lapseAt
 		for _, t := range h.tasks {
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -85,6 +85,7 @@
 	clockAt    time.Duration
 	lastCommit time.Duration
 	storeLost  time.Duration // since when commits fail, 0 for none
+	committing time.Duration // since when a commit is under way, 0 for none
 	wake       chan struct{}
 	hostCtx    context.Context
 	hostWG     sync.WaitGroup
@@ -219,7 +220,7 @@
 		s.mu.Unlock()
 		return result.Errorf(result.NotOwner, "the shard is being handed over")
 	}
-	if s.storeLost > 0 && s.now()-s.storeLost > storeAwayAfter {
+	if s.storeAway(s.now()) {
 		s.mu.Unlock()
 		return result.Errorf(result.JobNotStored, "the store is away")
 	}
@@ -251,8 +252,15 @@
 	case err := <-done:
 		return err
 	case <-ctx.Done():
-		return result.Errorf(result.OutcomeUnknown, "the commit took too long")
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !j.sent && !j.stored && s.jobs[j.spec.ID] == j {
+		s.forget(j)
+		j.answer(result.Errorf(result.JobNotStored, "the store is away"))
+		return result.Errorf(result.JobNotStored, "the store is away")
+	}
+	return result.Errorf(result.OutcomeUnknown, "the commit took too long")
 }
 
 func (s *Shard) awaitLoaded(ctx context.Context) error {
@@ -372,7 +380,7 @@
 func (s *Shard) Healthy() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.storeLost == 0 || s.now()-s.storeLost < storeAwayAfter
+	return !s.storeAway(s.now())
 }
 
 // Drain stops new runs and waits until what was decided is durable.
--- a/internal/dispatch/shard_test.go
+++ b/internal/dispatch/shard_test.go
@@ -217,3 +217,35 @@
 		}
 	})
 }
+
+// TestSilentStoreRefusesWhatWasNotSent: while a commit stays unanswered, jobs that no
+// commit carried are refused for certain, and soon.
+func TestSilentStoreRefusesWhatWasNotSent(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		w.settle()
+		storeFault(fleetfake.Lost)(w)
+		answers := make(chan error, 20)
+		for i := range 20 {
+			time.Sleep(30 * time.Millisecond)
+			go func() {
+				ctx, cancel := context.WithTimeout(w.ctx, 700*time.Millisecond)
+				defer cancel()
+				answers <- w.owner.Submit(ctx, steps(fmt.Sprint("a", i), "short", 1))
+			}()
+		}
+		refused := 0
+		for range 20 {
+			if result.Of(<-answers) == result.JobNotStored {
+				refused++
+			}
+		}
+		if refused < 18 {
+			t.Errorf("%d of 20 were refused for certain, want all but those of one commit", refused)
+		}
+		noStoreFault(w)
+		time.Sleep(5 * time.Second)
+		if w.workers.Starts > 20-refused {
+			t.Errorf("%d starts, %d jobs were not refused", w.workers.Starts, 20-refused)
+		}
+	})
+}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -16,10 +16,13 @@
 const (
 	// ownerTimeout bounds one try at a shard's owner: a commit takes some 30 ms,
 	// and a caller's time allows for a second try.
-	ownerTimeout = 800 * time.Millisecond
+	ownerTimeout = 700 * time.Millisecond
 	// patience is how long a request that no owner answers is tried; a takeover
 	// takes about a second and a half, and callers come back.
-	patience = 1800 * time.Millisecond
+	patience = 1400 * time.Millisecond
+	// awayPatience is how long a job is tried again while the owner says that the
+	// store is away: short gaps pass, others are the caller's to wait out.
+	awayPatience = 300 * time.Millisecond
 	// tryPause is the pause between tries.
 	tryPause = 80 * time.Millisecond
 	// maxHops bounds how often a job that moved between shards is followed.
@@ -42,12 +45,15 @@
 	}
 	home := l.Home(spec.ID)
 	maybe := false
+	began := time.Now()
 	err := n.try(ctx, func(ctx context.Context) (bool, error) {
 		err := n.submitOnce(ctx, home, spec)
 		switch result.Of(err) {
 		case result.OK, result.JobBad:
 			return true, err
-		case result.NotOwner, result.JobNotStored, result.PeerAway, result.NotReady:
+		case result.JobNotStored:
+			return time.Since(began) > awayPatience, err
+		case result.NotOwner, result.PeerAway, result.NotReady:
 		default:
 			maybe = true
 		}
