--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -247,11 +247,9 @@
 	}
 	known := own.known
 	o.mu.Unlock()
-	if n.leaving.Load() || !n.storeOK() {
-		return
-	}
-	wait, bad := o.grounds(known)
-	if !bad {
+	wait, bad, silent := o.grounds(known)
+	if !bad || n.leaving.Load() || !n.storeOK() {
+		// While this instance does not reach the store it cannot judge an owner.
 		o.mu.Lock()
 		own.badSince = time.Time{}
 		o.mu.Unlock()
@@ -262,47 +260,50 @@
 	o.mu.Lock()
 	if own.badSince.IsZero() {
 		own.badSince, own.beat = time.Now(), 0
-		if known.Owner != "" && known.Owner != n.self.Name {
-			go o.noteBeat(ctx, own)
-		}
 	}
-	due := time.Since(own.badSince) >= wait
-	own.busy = due
+	look := silent && own.beat == 0
+	due := !look && time.Since(own.badSince) >= wait
+	own.busy = due || look
 	o.mu.Unlock()
-	if due {
-		go o.takeOver(ctx, own)
+	switch {
+	case look:
+		go o.noteBeat(ctx, own)
+	case due:
+		go o.takeOver(ctx, own, silent)
 	}
 }
 
 // grounds tells whether a shard needs another owner, and after which pause.
-func (o *owners) grounds(known Owned) (time.Duration, bool) {
+// silent is true where only this instance's pings speak against the owner.
+func (o *owners) grounds(known Owned) (wait time.Duration, bad, silent bool) {
 	n := o.node
 	if known.Epoch == 0 || known.Owner == "" {
-		return unownedPause, true
+		return unownedPause, true, false
 	}
 	if known.Owner == n.self.Name {
-		return 0, true // an earlier life of this instance, or a shard that ended here
+		return 0, true, false // an earlier life of this instance, or a shard that ended here
 	}
 	if n.peers.life(known.Owner) > known.Life {
-		return 0, true // the owner started anew: its earlier life sends nothing more
+		return 0, true, false // the owner started anew: its earlier life sends nothing more
 	}
-	_, _, _, live := n.peers.live(known.Owner)
-	if !live {
-		return silentPause, true
+	if _, _, _, live := n.peers.live(known.Owner); !live {
+		return silentPause, true, true
 	}
-	return ailingPause, known.Ailing
+	return ailingPause, known.Ailing, false
 }
 
-// noteBeat reads the beat row, to see later whether the owner still commits.
+// noteBeat reads the beat row, to see later whether a silent owner still commits.
+// The pause before a takeover counts from here.
 func (o *owners) noteBeat(ctx context.Context, own *ownership) {
 	v, err := o.beatVersion(ctx, own.name)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	own.busy = false
 	if err != nil {
 		logger.WithField("shard", own.name).WithError(err).Debug("beat cannot be read")
 		return
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	own.beat = v
+	own.beat, own.badSince = max(v, 1), time.Now()
 }
 
 func (o *owners) beatVersion(ctx context.Context, shard string) (int64, error) {
@@ -323,7 +324,7 @@
 }
 
 // takeOver writes the owner row and runs the shard.
-func (o *owners) takeOver(ctx context.Context, own *ownership) {
+func (o *owners) takeOver(ctx context.Context, own *ownership, silent bool) {
 	defer func() {
 		o.mu.Lock()
 		own.busy, own.badSince = false, time.Time{}
@@ -343,8 +344,8 @@
 			return // somebody else was first
 		}
 	}
-	if beat > 0 && !known.Ailing && o.node.peers.life(known.Owner) <= known.Life {
-		if v, err := o.beatVersion(ctx, own.name); err != nil || v != beat {
+	if silent {
+		if v, err := o.beatVersion(ctx, own.name); err != nil || max(v, 1) != beat {
 			return // the owner commits: only this instance does not reach it
 		}
 	}
