A noted lapse is renounced in the store before the next lease

Also: the layout was written before all workers had registered (grown site: one shard for 350 workers). Ruled out: worker clocks (the lapse itself was kept), late starts (none there). Change: no lease and no start for a noted worker until a beat without it is durable; the layout waits until registrations pause. Test: TestNotedLapseIsRenouncedFirst, red before.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -60,6 +60,7 @@
 	inbox   []string
 	dropped []string
 	beat    beatRow
+	beats   bool // the beat itself is worth a commit
 	since   time.Duration
 }
 
@@ -89,7 +90,7 @@
 		s.plan(s.now())
 		b := s.collect()
 		s.mu.Unlock()
-		if b.empty() && s.now()-s.lastCommit < beatInterval*9/10 {
+		if b.empty() && !b.beats && s.now()-s.lastCommit < beatInterval*9/10 {
 			s.carryOut(ctx, b, fleet.TxResult{})
 			continue
 		}
@@ -106,13 +107,15 @@
 // collect builds the commit of what is dirty. The caller holds the lock.
 func (s *Shard) collect() *batch {
 	b := &batch{
-		beat: beatRow{Epoch: s.cfg.Epoch, Seq: s.beat.Seq + 1, Lapses: s.lapses()}, ends: map[*host]lifeEnd{},
+		beats: s.renounce(),
+		beat:  beatRow{Epoch: s.cfg.Epoch, Seq: s.beat.Seq + 1, Lapses: s.lapses()}, ends: map[*host]lifeEnd{},
 		tx: fleet.Tx{Part: s.cfg.Name, Expect: []fleet.Row{
 			{Table: TableOwner, Key: KeyOwner, Version: s.cfg.OwnerRow},
 			{Table: TableBeat, Key: KeyBeat, Version: s.beatVer},
 		}},
 	}
 	b.put(TableBeat, KeyBeat, b.beat)
+	s.note(b.beat.Lapses)
 	if now := s.now(); len(s.images.quiet) > 0 && now-s.bookAt > bookInterval {
 		s.bookAt = now
 		b.put(TableImages, KeyImages, s.images.row())
@@ -184,6 +187,24 @@
 	return len(value)
 }
 
+// note adds to the workers whose lapse the store may know. Until a beat without
+// them is durable they get no lease: a successor would not know of it.
+func (s *Shard) note(lapses map[string]int64) {
+	for id := range lapses {
+		s.noted[id] = true
+	}
+}
+
+// renounce reports whether a worker that answers again is still noted as lapsing.
+func (s *Shard) renounce() bool {
+	for id := range s.noted {
+		if h := s.hosts[id]; h == nil || h.silent == 0 || len(h.tasks) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // lapses returns the lapse of each worker that is out of reach, on the store's
 // clock.
 func (s *Shard) lapses() map[string]int64 {
@@ -335,6 +356,8 @@
 	defer s.mu.Unlock()
 	if res.Version > 0 {
 		s.beat, s.beatVer = b.beat, res.Version
+		clear(s.noted)
+		s.note(b.beat.Lapses)
 		s.lastCommit = s.now()
 		s.cfg.Metrics.Committed(s.lastCommit-b.since, len(b.jobs))
 		s.sawClock(res.Clock)
--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -237,3 +237,28 @@
 		w.await(fmt.Sprint("a", i), workload.Completed, time.Minute)
 	}
 }
+
+// TestNotedLapseIsRenouncedFirst: an owner that told the store when a worker's leases
+// end gives it no longer ones until the store knows better.
+func TestNotedLapseIsRenouncedFirst(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		w.workers.Duration = func(string) time.Duration { return 30 * time.Second }
+		w.settle()
+		w.submit(steps("a", "batch", 1))
+		time.Sleep(300 * time.Millisecond)
+		w.owner.mu.Lock()
+		worker := w.owner.jobs["a"].tasks[0][0].Worker
+		w.owner.mu.Unlock()
+		w.workers.Cut(worker, true)
+		time.Sleep(3 * time.Second) // the lapse is noted
+		w.workers.Cut(worker, false)
+		storeFault(fleetfake.Lost)(w)
+		time.Sleep(4 * time.Second)
+		w.workers.Cut(worker, true)
+		noStoreFault(w)
+		killOwner(w)
+		time.Sleep(20 * time.Second)
+		w.workers.Cut(worker, false)
+		w.await("a", workload.Completed, time.Minute)
+	})
+}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -61,7 +61,7 @@
 	}
 	order.Acked = h.durable
 	order.WaitMillis = holdWait.Milliseconds()
-	if now-s.lastCommit < Promise && len(h.tasks) > 0 {
+	if now-s.lastCommit < Promise && len(h.tasks) > 0 && !s.noted[h.ID] {
 		order.LeaseUntil = h.workerClock(now) + s.cfg.Bounds.LeaseMax.Milliseconds()
 		h.grant(order.LeaseUntil)
 	}
@@ -123,6 +123,9 @@
 		return false // the answer's lists are asked for again with a fresh cursor
 	}
 	h.Life = max(h.Life, report.Life)
+	if s.noted[h.ID] {
+		s.kick() // a beat without it comes before the next lease
+	}
 	if h.silent > 0 && h.seen {
 		logger.WithField("worker", h.ID).WithField("silent", (now - h.silent).String()).Info("worker answers again")
 	}
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -50,6 +50,7 @@
 		if err := workload.Decode(beats[0].Value, &s.beat); err != nil {
 			return err
 		}
+		s.note(s.beat.Lapses)
 	}
 	for _, r := range accepted {
 		var a workload.Accepted
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -29,7 +29,7 @@
 	}
 	now := s.now()
 	h := s.hosts[t.Worker]
-	if h == nil || t.stopWanted || !h.seen || h.Life != t.Life || h.silent > 0 {
+	if h == nil || t.stopWanted || !h.seen || h.Life != t.Life || h.silent > 0 || s.noted[h.ID] {
 		s.release(t, now) // it was never sent
 		s.kick()
 		return
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -25,7 +25,7 @@
 func (s *Shard) slots(now time.Duration) []*slot {
 	var out []*slot
 	for _, h := range s.hosts {
-		if !h.takes(now) {
+		if !h.takes(now) || s.noted[h.ID] {
 			if h.busyUntil > now {
 				s.later(h.busyUntil)
 			}
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -81,7 +81,8 @@
 
 	beat       beatRow
 	beatVer    int64
-	clockBase  fleet.Clock // store's clock at clockAt
+	noted      map[string]bool // workers whose lapse the store may know
+	clockBase  fleet.Clock     // store's clock at clockAt
 	clockAt    time.Duration
 	lastCommit time.Duration
 	storeLost  time.Duration // since when commits fail, 0 for none
@@ -104,7 +105,7 @@
 func New(cfg Settings) *Shard {
 	return &Shard{
 		cfg: cfg, jobs: map[string]*job{}, hosts: map[string]*host{},
-		inboxGone: map[string]bool{}, dropped: map[string]bool{},
+		inboxGone: map[string]bool{}, noted: map[string]bool{}, dropped: map[string]bool{},
 		wake: make(chan struct{}, 1), loaded: make(chan struct{}), idle: make(chan struct{}),
 		images: newImageBook(), durations: newDurations(), advised: map[string]*advice{},
 	}
--- a/internal/node/layout.go
+++ b/internal/node/layout.go
@@ -22,8 +22,10 @@
 	workersPerShard = 64
 	// maxShards bounds the shards of a zone.
 	maxShards = 16
-	// emptyRegistryWait is how long the first start waits for workers to register.
-	emptyRegistryWait = 2 * time.Second
+	// The first start waits until no worker has registered for registryQuiet, at
+	// most registryWait: workers register within about three heartbeats.
+	registryQuiet = 1200 * time.Millisecond
+	registryWait  = 4500 * time.Millisecond
 )
 
 // Layout is the division of an installation into shards. It is written once.
@@ -104,8 +106,12 @@
 // readLayout returns the stored layout and writes it where there is none.
 func (n *Node) readLayout(ctx context.Context) (*Layout, error) {
 	started := time.Now()
+	count, since := 0, started
 	for {
-		l, err := n.tryLayout(ctx, time.Since(started) > emptyRegistryWait)
+		l, workers, err := n.tryLayout(ctx, count > 0 && time.Since(since) > registryQuiet || time.Since(started) > registryWait)
+		if workers != count {
+			count, since = workers, time.Now()
+		}
 		if err == nil && l != nil {
 			return l, nil
 		}
@@ -121,31 +127,31 @@
 	}
 }
 
-func (n *Node) tryLayout(ctx context.Context, workersOptional bool) (*Layout, error) {
+// tryLayout reads the layout. Where there is none, it counts the workers and, if
+// decide is set, writes one for them.
+func (n *Node) tryLayout(ctx context.Context, decide bool) (*Layout, int, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	p, err := n.deps.Store.Range(ctx, tableLayout, "", "", "")
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	n.sawStoreClock(p.Clock)
 	if len(p.Rows) > 0 {
 		l := new(Layout)
-		return l, workload.Decode(p.Rows[0].Value, l)
+		return l, 0, workload.Decode(p.Rows[0].Value, l)
 	}
 	workers, err := n.deps.Store.Range(ctx, n.deps.Registry.Table(), "", "", "")
-	if err != nil {
-		return nil, err
-	}
-	if len(workers.Rows) == 0 && !workersOptional {
-		return nil, nil
+	if err != nil || !decide {
+		return nil, len(workers.Rows), err
 	}
 	l := &Layout{Zones: slices.Sorted(slices.Values(n.settings.Zones)), PerZone: shardsPerZone(n.deps.Registry, workers.Rows)}
+	logger.WithField("workers", len(workers.Rows)).WithField("shards", len(l.Shards())).Info("layout written")
 	_, err = n.deps.Store.Commit(ctx, fleet.Tx{
 		Expect: []fleet.Row{{Table: tableLayout, Key: keyLayout}},
 		Put:    []fleet.Row{{Table: tableLayout, Key: keyLayout, Value: workload.Encode(l)}},
 	})
-	return nil, err // read again: another instance may have been first
+	return nil, len(workers.Rows), err // read again: another instance may have been first
 }
 
 // shardsPerZone is what the largest zone needs, or 0 where one shard is enough.
