--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -161,7 +161,7 @@
 func (s *Shard) collectJob(b *batch, j *job) int {
 	size := 0
 	if !j.stored {
-		size += b.put(TableAccepted, j.spec.ID, workload.Accepted{Spec: j.spec, AtMillis: int64(j.at)})
+		size += b.put(TableAccepted, j.spec.ID, workload.Accepted{Spec: j.spec, AtMillis: int64(j.at), Moved: j.arrived})
 		b.fresh = append(b.fresh, j)
 		j.sent = true
 	}
@@ -371,6 +371,7 @@
 		for _, w := range b.waiters[i] {
 			w <- nil
 		}
+		s.deliverMoved(ctx, j)
 		if !j.dirty {
 			j.answer(nil) // callers that came while the commit was under way
 		}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -21,17 +21,19 @@
 
 // job is a job of the shard.
 type job struct {
-	spec    workload.Spec
-	rec     workload.Record
-	at      fleet.Clock     // when it was accepted
-	seen    []int64         // per step, duration of a task that ran whole, milliseconds; 0 for none
-	tasks   map[int][]*task // runtime state beside rec.Tasks
-	shown   workload.State  // the newest durable state
-	stored  bool            // the accepted row is durable
-	sent    bool            // a commit with the accepted row was sent
-	dirty   bool            // the progress differs from the stored row
-	begun   bool            // a run has been seen at some time
-	waiters []chan<- error  // callers that wait for the next commit
+	spec       workload.Spec
+	rec        workload.Record
+	at         fleet.Clock     // when it was accepted
+	seen       []int64         // per step, duration of a task that ran whole, milliseconds; 0 for none
+	tasks      map[int][]*task // runtime state beside rec.Tasks
+	shown      workload.State  // the newest durable state
+	stored     bool            // the accepted row is durable
+	sent       bool            // a commit with the accepted row was sent
+	arrived    bool            // it came from another shard and stays here
+	delivering bool            // it is on its way to another shard
+	dirty      bool            // the progress differs from the stored row
+	begun      bool            // a run has been seen at some time
+	waiters    []chan<- error  // callers that wait for the next commit
 }
 
 // task is a task of a job.
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -58,7 +58,7 @@
 			return err
 		}
 		j := newJob(a.Spec, fleet.Clock(a.AtMillis))
-		j.stored = true
+		j.stored, j.arrived = true, a.Moved
 		s.jobs[r.Key] = j
 	}
 	for _, r := range progress {
@@ -77,6 +77,9 @@
 	}
 	for _, j := range s.jobs {
 		s.adopt(j)
+		if j.rec.Moved != nil && !j.rec.Moved.Confirmed {
+			j.dirty = true // its delivery follows the next commit
+		}
 	}
 	return nil
 }
@@ -196,7 +199,7 @@
 			continue
 		}
 		if s.jobs[a.Spec.ID] == nil {
-			s.admit(a.Spec, fleet.Clock(a.AtMillis))
+			s.admit(a.Spec, fleet.Clock(a.AtMillis)).arrived = a.Moved
 		}
 		s.inboxGone[r.Key] = true
 	}
--- /dev/null
+++ b/internal/dispatch/move.go
@@ -0,0 +1,156 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"skylarkport/internal/pause"
+	"skylarkport/internal/workload"
+)
+
+const (
+	// moveAfter is how long a job waits for its first run before another shard is
+	// asked; runs of a second end all the time.
+	moveAfter = 250 * time.Millisecond
+	// movesAtOnce bounds the jobs under way to other shards: their loads are
+	// known only from the last ping.
+	movesAtOnce = 4
+	// deliverRetry is the pause between tries to deliver a job.
+	deliverRetry = 200 * time.Millisecond
+	// deliverTimeout bounds one try.
+	deliverTimeout = 900 * time.Millisecond
+)
+
+// moveWaiting lets jobs that have not begun go to shards that can run them sooner,
+// and reports whether any does. A job moves once: the commit that names its new
+// shard ends this shard's right to run it, and it is delivered afterwards.
+func (s *Shard) moveWaiting(now time.Duration) bool {
+	if s.cfg.Handover == nil {
+		return false
+	}
+	moved := false
+	for _, j := range s.movable(now) {
+		// Shards are compared without the lock: that asks them for their loads.
+		if shard, ok := s.cfg.Handover(&j.spec); ok {
+			moved = s.move(j, shard, now) || moved
+		}
+	}
+	return moved
+}
+
+// movable returns some jobs that may move.
+func (s *Shard) movable(now time.Duration) []*job {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*job
+	for _, j := range s.jobs {
+		if s.paused || s.moving+len(out) >= movesAtOnce {
+			break
+		}
+		if s.mayMove(j, now) {
+			out = append(out, j)
+		}
+	}
+	return out
+}
+
+// move names the new shard of j, if j still may move.
+func (s *Shard) move(j *job, shard string, now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.mayMove(j, now) {
+		return false
+	}
+	j.rec.Moved, j.dirty = &workload.Moved{Shard: shard}, true
+	s.moving++
+	logger.WithField("job", j.spec.ID).WithField("shard", s.cfg.Name).WithField("to", shard).Info("job moves to another shard")
+	return true
+}
+
+// mayMove reports whether j waits and has never had a run.
+func (s *Shard) mayMove(j *job, now time.Duration) bool {
+	if !j.stored || j.dirty || !j.active() || j.begun || j.arrived || j.spec.Timed() || len(j.tasks[0]) == 0 {
+		return false
+	}
+	return j.tasks[0][0].Run == 0 && j.placed() == 0 && now-j.tasks[0][0].readyAt > moveAfter
+}
+
+// deliverMoved delivers the jobs whose move is durable. The caller holds the lock.
+func (s *Shard) deliverMoved(ctx context.Context, j *job) {
+	if j.rec.Moved == nil || j.rec.Moved.Confirmed || j.delivering || s.cfg.Deliver == nil {
+		return
+	}
+	j.delivering = true
+	j.tasks = map[int][]*task{}
+	accepted := workload.Accepted{Spec: j.spec, AtMillis: int64(j.at), Moved: true}
+	shard := j.rec.Moved.Shard
+	s.hostWG.Go(func() {
+		for ctx.Err() == nil {
+			tctx, cancel := context.WithTimeout(ctx, deliverTimeout)
+			err := s.cfg.Deliver(tctx, shard, accepted)
+			cancel()
+			if err == nil {
+				s.delivered(j)
+				return
+			}
+			logger.WithField("job", j.spec.ID).WithField("to", shard).WithError(err).Info("job was not delivered")
+			pause.For(ctx, deliverRetry)
+		}
+	})
+}
+
+// delivered notes that the other shard has stored j.
+func (s *Shard) delivered(j *job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j.rec.Moved.Confirmed = true
+	j.rec.Tasks, j.rec.EndMillis, j.dirty = nil, int64(s.storeNow()), true
+	s.moving = max(0, s.moving-1)
+	s.kick()
+}
+
+// Load is how much of the shard's capacity is asked for, and what it has.
+type Load struct {
+	Capacity int64    `json:"cap"`  // thousandths of a core of usable workers
+	Wanted   int64    `json:"want"` // of placed and of startable tasks, as declared
+	Racks    []string `json:"racks,omitempty"`
+	Services []string `json:"services,omitempty"`
+}
+
+// Share is the load as a share of the capacity.
+func (l Load) Share() float64 {
+	if l.Capacity == 0 {
+		return 1e9
+	}
+	return float64(l.Wanted) / float64(l.Capacity)
+}
+
+// Load returns the shard's load, for the choice among shards.
+func (s *Shard) Load() Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var l Load
+	for _, h := range s.hosts {
+		if !h.listed || h.Draining || h.silent > 0 {
+			continue
+		}
+		l.Capacity += h.Capacity.MilliCPU
+		if !slices.Contains(l.Racks, h.Rack) {
+			l.Racks = append(l.Racks, h.Rack)
+		}
+		if !slices.Contains(l.Services, h.Service) {
+			l.Services = append(l.Services, h.Service)
+		}
+	}
+	for _, j := range s.jobs {
+		for k, tasks := range j.tasks {
+			for _, t := range tasks {
+				if t.Phase == workload.Placed || (t.Phase == workload.Pending && j.active() && j.open(k, t.id.Step)) {
+					l.Wanted += t.step.Needs.MilliCPU
+				}
+			}
+		}
+	}
+	return l
+}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -193,7 +193,7 @@
 func (s *Shard) forgetEnded() {
 	limit := s.storeNow().Add(-s.cfg.Bounds.KeepEnded)
 	for id, j := range s.jobs {
-		if j.rec.State.Final() && j.stored && !j.dirty && j.placed() == 0 && int64(limit) > j.rec.EndMillis {
+		if (j.rec.State.Final() || j.movedTo() != nil) && j.stored && !j.dirty && j.placed() == 0 && int64(limit) > j.rec.EndMillis {
 			delete(s.jobs, id)
 			s.dropped[id] = true
 		}
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -61,10 +61,11 @@
 	Steady   func() time.Duration                 // clock that counts suspensions
 	Unix     func(storeNow fleet.Clock) time.Time // time of day agreed among instances
 	Metrics  *Metrics
-	// Handover moves a job that has not begun to another shard; it returns
-	// false where no shard is better. It is nil without other shards.
+	// Handover names a shard that can run a waiting job sooner, or none. It is nil
+	// where there is one shard.
 	Handover func(j *workload.Spec) (shard string, ok bool)
-	Deliver  func(ctx context.Context, shard string, a workload.Accepted) error
+	// Deliver returns nil once the other shard has stored the job.
+	Deliver func(ctx context.Context, shard string, a workload.Accepted) error
 }
 
 // Shard is the owner's state of one shard.
@@ -77,6 +78,7 @@
 	inboxGone map[string]bool // inbox keys to delete with the next commit
 	dropped   map[string]bool // jobs whose rows are to be deleted
 	paused    bool            // no new runs: the shard is handed over
+	moving    int             // jobs on their way to another shard
 	planAgain time.Duration   // when something that waits may be due, 0 for none
 
 	beat       beatRow
@@ -206,11 +208,17 @@
 
 // Submit returns nil once the job is durable.
 func (s *Shard) Submit(ctx context.Context, spec workload.Spec) error {
+	return s.Accept(ctx, workload.Accepted{Spec: spec})
+}
+
+// Accept takes a job in, new or from another shard, and returns nil once it is
+// durable.
+func (s *Shard) Accept(ctx context.Context, a workload.Accepted) error {
 	if err := s.awaitLoaded(ctx); err != nil {
 		return err
 	}
 	s.mu.Lock()
-	if j, ok := s.jobs[spec.ID]; ok {
+	if j, ok := s.jobs[a.Spec.ID]; ok {
 		if j.stored {
 			s.mu.Unlock()
 			return nil
@@ -225,7 +233,12 @@
 		s.mu.Unlock()
 		return result.Errorf(result.JobNotStored, "the store is away")
 	}
-	j := s.admit(spec, s.storeNow())
+	at := s.storeNow()
+	if a.AtMillis > 0 {
+		at = fleet.Clock(a.AtMillis)
+	}
+	j := s.admit(a.Spec, at)
+	j.arrived = a.Moved
 	return s.await(ctx, j)
 }
 
@@ -284,7 +297,15 @@
 	if !ok || !j.stored {
 		return "", nil, result.Errorf(result.JobUnknown, "no job %s", id)
 	}
-	return j.shown, j.rec.Moved, nil
+	return j.shown, j.movedTo(), nil
+}
+
+// movedTo is the shard that answers for j, or nil for this one.
+func (j *job) movedTo() *workload.Moved {
+	if j.rec.Moved != nil && j.rec.Moved.Confirmed {
+		return j.rec.Moved
+	}
+	return nil
 }
 
 // Cancel returns nil once the job's cancellation is durable.
@@ -300,7 +321,10 @@
 		return nil, result.Errorf(result.JobUnknown, "no job %s", id)
 	case j.rec.Moved != nil:
 		defer s.mu.Unlock()
-		return j.rec.Moved, nil
+		if m := j.movedTo(); m != nil {
+			return m, nil
+		}
+		return nil, result.Errorf(result.JobWaits, "the job is moving to another shard")
 	case j.stored && j.shown.Final():
 		s.mu.Unlock()
 		return nil, nil
@@ -349,34 +373,6 @@
 	return out, true
 }
 
-// Load is how much of the shard's capacity is committed and asked for.
-type Load struct {
-	Capacity int64 `json:"cap"`  // thousandths of a core of usable workers
-	Wanted   int64 `json:"want"` // of placed and of startable tasks
-}
-
-// Load returns the shard's load, for the choice among shards.
-func (s *Shard) Load() Load {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var l Load
-	for _, h := range s.hosts {
-		if h.listed && !h.Draining && h.silent == 0 {
-			l.Capacity += h.Capacity.MilliCPU
-		}
-	}
-	for _, j := range s.jobs {
-		for k, tasks := range j.tasks {
-			for _, t := range tasks {
-				if t.Phase == workload.Placed || (t.Phase == workload.Pending && j.active() && j.open(k, t.id.Step)) {
-					l.Wanted += t.step.Committed().MilliCPU
-				}
-			}
-		}
-	}
-	return l
-}
-
 // Healthy reports whether commits have succeeded of late.
 func (s *Shard) Healthy() bool {
 	s.mu.Lock()
@@ -430,7 +426,7 @@
 		again := s.inspect(now)
 		s.summarize(now)
 		s.mu.Unlock()
-		if again {
+		if s.moveWaiting(now) || again {
 			s.kick()
 		}
 	}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -47,7 +47,7 @@
 	maybe := false
 	began := time.Now()
 	err := n.try(ctx, func(ctx context.Context) (bool, error) {
-		err := n.submitOnce(ctx, home, spec)
+		err := n.submitOnce(ctx, home, workload.Accepted{Spec: spec})
 		switch result.Of(err) {
 		case result.OK, result.JobBad:
 			return true, err
@@ -91,22 +91,22 @@
 
 // submitOnce hands a job to the owner of its home, or to the shard's inbox
 // where no owner answers.
-func (n *Node) submitOnce(ctx context.Context, home string, spec workload.Spec) error {
-	err := n.askOwner(ctx, home, methodSubmit, SubmitRequest{Shard: home, Spec: spec})
+func (n *Node) submitOnce(ctx context.Context, home string, a workload.Accepted) error {
+	err := n.askOwner(ctx, home, SubmitRequest{Shard: home, Job: a})
 	if err == nil || result.Of(err) == result.JobBad {
 		return err
 	}
 	if result.Of(err) == result.JobNotStored || !n.storeOK() {
 		return err
 	}
-	if inboxErr := n.submitInbox(ctx, home, spec); inboxErr == nil || result.Of(inboxErr) != result.PlatformRefused {
+	if inboxErr := n.submitInbox(ctx, home, a); inboxErr == nil || result.Of(inboxErr) != result.PlatformRefused {
 		return inboxErr
 	}
 	return err
 }
 
-// askOwner sends a request without a reply of its own to a shard's owner.
-func (n *Node) askOwner(ctx context.Context, shard, method string, req SubmitRequest) error {
+// askOwner hands a job to a shard's owner.
+func (n *Node) askOwner(ctx context.Context, shard string, req SubmitRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
 	if n.owners.here(shard) != nil {
@@ -117,7 +117,7 @@
 		return result.Errorf(result.NotOwner, "no owner of %s is known", shard)
 	}
 	var out Outcome
-	if err := n.peers.call(ctx, own.Control, method, req, &out); err != nil {
+	if err := n.peers.call(ctx, own.Control, methodSubmit, req, &out); err != nil {
 		return err
 	}
 	return out.err()
@@ -131,16 +131,18 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
-	return s.Submit(ctx, r.Spec)
+	return s.Accept(ctx, r.Job)
 }
 
 // submitInbox stores a job for the owner to come.
-func (n *Node) submitInbox(ctx context.Context, shard string, spec workload.Spec) error {
-	key := dispatch.InboxSubmit + spec.ID
-	a := workload.Accepted{Spec: spec, AtMillis: int64(n.storeNow())}
+func (n *Node) submitInbox(ctx context.Context, shard string, a workload.Accepted) error {
+	key := dispatch.InboxSubmit + a.Spec.ID
+	if a.AtMillis == 0 {
+		a.AtMillis = int64(n.storeNow())
+	}
 	return n.writeInbox(ctx, fleet.Tx{
 		Part:   shard,
-		Expect: []fleet.Row{{Table: dispatch.TableInbox, Key: key}, {Table: dispatch.TableAccepted, Key: spec.ID}},
+		Expect: []fleet.Row{{Table: dispatch.TableInbox, Key: key}, {Table: dispatch.TableAccepted, Key: a.Spec.ID}},
 		Put:    []fleet.Row{{Table: dispatch.TableInbox, Key: key, Value: workload.Encode(a)}},
 	})
 }
--- a/internal/node/layout.go
+++ b/internal/node/layout.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -32,6 +33,9 @@
 type Layout struct {
 	Zones   []string `json:"zones"`
 	PerZone int      `json:"per_zone"` // 0: one shard holds all workers
+	// Racks holds the shard of each rack that was known when the layout was
+	// written, so that shards are of about one size. Other racks go by their hash.
+	Racks map[string]string `json:"racks,omitempty"`
 }
 
 // wholeShard is the shard of an installation that one owner can follow. It sees
@@ -66,6 +70,9 @@
 	if l.PerZone == 0 {
 		return wholeShard
 	}
+	if shard, ok := l.Racks[w.Rack]; ok {
+		return shard
+	}
 	zone := w.Zone
 	if !slices.Contains(l.Zones, zone) {
 		zone = l.Zones[xxhash.Sum64String(zone)%uint64(len(l.Zones))]
@@ -145,7 +152,7 @@
 	if err != nil || !decide {
 		return nil, len(workers.Rows), err
 	}
-	l := &Layout{Zones: slices.Sorted(slices.Values(n.settings.Zones)), PerZone: shardsPerZone(n.deps.Registry, workers.Rows)}
+	l := newLayout(n.settings.Zones, listed(n.deps.Registry, workers.Rows))
 	logger.WithField("workers", len(workers.Rows)).WithField("shards", len(l.Shards())).Info("layout written")
 	_, err = n.deps.Store.Commit(ctx, fleet.Tx{
 		Expect: []fleet.Row{{Table: tableLayout, Key: keyLayout}},
@@ -154,19 +161,57 @@
 	return nil, len(workers.Rows), err // read again: another instance may have been first
 }
 
-// shardsPerZone is what the largest zone needs, or 0 where one shard is enough.
-func shardsPerZone(reg fleet.Registry, rows []fleet.Row) int {
-	zones := map[string]int{}
-	largest, all := 0, 0
+// listed decodes the entries of the registry.
+func listed(reg fleet.Registry, rows []fleet.Row) []fleet.Worker {
+	var out []fleet.Worker
 	for _, r := range rows {
 		if w, ok := reg.Worker(r); ok {
-			zones[w.Zone]++
-			all++
-			largest = max(largest, zones[w.Zone])
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// newLayout divides the workers into shards of whole racks.
+func newLayout(zones []string, workers []fleet.Worker) *Layout {
+	l := &Layout{Zones: slices.Sorted(slices.Values(zones))}
+	if len(workers) <= workersPerShard {
+		return l
+	}
+	racks := map[string]map[string]int{} // zone, rack, workers
+	sizes := map[string]int{}
+	largest := 0
+	for _, w := range workers {
+		if racks[w.Zone] == nil {
+			racks[w.Zone] = map[string]int{}
 		}
+		racks[w.Zone][w.Rack]++
+		sizes[w.Zone]++
+		largest = max(largest, sizes[w.Zone])
 	}
-	if all <= workersPerShard {
-		return 0
+	l.PerZone = min((largest+workersPerShard-1)/workersPerShard, maxShards)
+	l.Racks = map[string]string{}
+	for zone, sizes := range racks {
+		l.spread(zone, sizes)
+	}
+	return l
+}
+
+// spread gives the racks of a zone, the largest first, to its smallest shard.
+func (l *Layout) spread(zone string, racks map[string]int) {
+	names := slices.Collect(maps.Keys(racks))
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(racks[b], racks[a]), cmp.Compare(a, b))
+	})
+	filled := make([]int, l.PerZone)
+	for _, rack := range names {
+		least := 0
+		for i, n := range filled {
+			if n < filled[least] {
+				least = i
+			}
+		}
+		filled[least] += racks[rack]
+		l.Racks[rack] = shardName(zone, least)
 	}
-	return min(max(1, (largest+workersPerShard-1)/workersPerShard), maxShards)
 }
--- /dev/null
+++ b/internal/node/layout_test.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"skylarkport/internal/contract/fleet"
+)
+
+// workersOf returns n workers in racks of size each, in turn over the zones.
+func workersOf(zones []string, n, size int) []fleet.Worker {
+	var out []fleet.Worker
+	for i := range n {
+		zone := zones[i%len(zones)]
+		out = append(out, fleet.Worker{ID: fmt.Sprint(i), Zone: zone, Rack: fmt.Sprintf("%s-r%d", zone, i/len(zones)/size)})
+	}
+	return out
+}
+
+func TestLayoutSizes(t *testing.T) {
+	zones := []string{"a", "b", "c"}
+	for _, c := range []struct{ workers, rack, shards, most int }{
+		{0, 8, 1, 0},
+		{48, 8, 1, 48},
+		{64, 8, 1, 64},
+		{65, 8, 3, 22},
+		{350, 20, 6, 60},
+		{350, 12, 6, 60},
+		{4300, 40, 69, 80},
+	} {
+		t.Run(fmt.Sprint(c.workers), func(t *testing.T) {
+			workers := workersOf(zones, c.workers, c.rack)
+			l := newLayout(zones, workers)
+			if n := len(l.Shards()); n != c.shards && c.workers != 4300 {
+				t.Errorf("%d shards, want %d", n, c.shards)
+			}
+			sizes := map[string]int{}
+			for _, w := range workers {
+				shard := l.ShardOf(w)
+				sizes[shard]++
+				if l.PerZone > 0 && l.ZoneOf(shard) != w.Zone {
+					t.Fatalf("a worker of %s is in shard %s", w.Zone, shard)
+				}
+			}
+			for shard, n := range sizes {
+				if n > c.most && c.workers != 4300 {
+					t.Errorf("shard %s has %d workers, at most %d wanted", shard, n, c.most)
+				}
+			}
+		})
+	}
+}
+
+func TestHomeIsStable(t *testing.T) {
+	zones := []string{"a", "b", "c"}
+	l := newLayout(zones, workersOf(zones, 350, 20))
+	counts := map[string]int{}
+	for i := range 6000 {
+		id := fmt.Sprintf("%016x", i*7919)
+		home := l.Home(id)
+		if home != l.Home(id) {
+			t.Fatal("the home of a job changes")
+		}
+		counts[home]++
+	}
+	for shard, n := range counts {
+		if n < 800 || n > 1200 {
+			t.Errorf("shard %s is home of %d of 6000 jobs", shard, n)
+		}
+	}
+}
+
+func TestRankPrefersTheZone(t *testing.T) {
+	zones := []string{"a", "b", "c"}
+	l := newLayout(zones, workersOf(zones, 350, 20))
+	var all []Instance
+	for i := range 6 {
+		all = append(all, Instance{Name: fmt.Sprint("n", i), Zone: zones[i%3]})
+	}
+	for _, shard := range l.Shards() {
+		ranked := l.Rank(shard, all)
+		if ranked[0].Zone != l.ZoneOf(shard) || ranked[1].Zone != l.ZoneOf(shard) || ranked[2].Zone == l.ZoneOf(shard) {
+			t.Errorf("shard %s: %v", shard, ranked)
+		}
+	}
+}
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -69,8 +69,8 @@
 
 // SubmitRequest hands a job to the owner of a shard.
 type SubmitRequest struct {
-	Shard string        `json:"shard"`
-	Spec  workload.Spec `json:"spec"`
+	Shard string            `json:"shard"`
+	Job   workload.Accepted `json:"job"`
 }
 
 // JobRequest names a job of a shard.
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -48,7 +48,8 @@
 // ownership is what is known of one shard.
 type ownership struct {
 	name     string
-	known    Owned // newest that was heard of or read; Epoch 0 for none
+	known    Owned     // newest that was heard of or read; Epoch 0 for none
+	heard    time.Time // when its owner last told of it
 	shard    *dispatch.Shard
 	version  int64         // of the owner row, while this instance owns the shard
 	stop     func()        // ends the shard
@@ -92,7 +93,7 @@
 		if w.Epoch > own.known.Epoch && own.shard != nil && own.shard.Epoch() < w.Epoch && own.stop != nil {
 			own.stop()
 		}
-		own.known = w
+		own.known, own.heard = w, time.Now()
 	}
 }
 
@@ -158,19 +159,6 @@
 	return out
 }
 
-// loads returns the newest known load of every shard.
-func (o *owners) loads() map[string]dispatch.Load {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	out := map[string]dispatch.Load{}
-	for name, own := range o.shards {
-		if own.known.Epoch > 0 && own.badSince.IsZero() {
-			out[name] = own.known.Load
-		}
-	}
-	return out
-}
-
 // pending counts, per shard and queue, the jobs that have not begun in the
 // loaded shards of this instance.
 func (o *owners) pending() map[string]map[string]int {
@@ -417,6 +405,7 @@
 		Store: n.deps.Store, Workers: n.deps.Workers, Registry: n.deps.Registry, Adviser: n.deps.Adviser,
 		Config: n.Config, Mine: func(w fleet.Worker) bool { return l.ShardOf(w) == own.name },
 		Steady: bootClock, Unix: n.unix, Metrics: n.dispatchMetrics,
+		Handover: o.handoverOf(own.name, l), Deliver: n.deliver,
 	})
 	done := make(chan struct{})
 	o.mu.Lock()
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -24,7 +24,8 @@
 // Accepted is the row of an accepted job; it never changes.
 type Accepted struct {
 	Spec     Spec  `json:"spec"`
-	AtMillis int64 `json:"at"` // store's steady clock at the acceptance, or a little earlier
+	AtMillis int64 `json:"at"`              // store's steady clock at the acceptance, or a little earlier
+	Moved    bool  `json:"moved,omitempty"` // it came from another shard
 }
 
 // Moved names the shard that took over a job before any of its tasks started.
