A job in the inbox is never forgotten

Ruled out: the store (rows were there at the takeover), the handover at 14.7 s. Change: jobs from the inbox are accepted from then on and are kept until stored. Test: TestInboxJobIsNotForgotten, red before.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -278,7 +278,7 @@
 // learn at once that they did not run. The caller holds the lock.
 func (s *Shard) refuseUnsent() {
 	for _, j := range s.jobs {
-		if j.stored || j.sent || len(j.waiters) == 0 {
+		if j.stored || j.sent || j.kept || len(j.waiters) == 0 {
 			continue
 		}
 		s.forget(j)
@@ -323,6 +323,10 @@
 	}
 	fresh := map[*job]bool{}
 	for _, j := range b.fresh {
+		j.sent = false
+		if j.kept {
+			continue
+		}
 		fresh[j] = true
 		s.forget(j)
 	}
--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -262,3 +262,39 @@
 		w.await("a", workload.Completed, time.Minute)
 	})
 }
+
+// TestInboxJobIsNotForgotten: a job that lies in the inbox is accepted; a caller that
+// asks for it again while commits are refused must not make the owner drop it.
+func TestInboxJobIsNotForgotten(t *testing.T) {
+	for _, f := range []fleetfake.Fault{fleetfake.Refused, fleetfake.Lost} {
+		t.Run(fmt.Sprint(f), func(t *testing.T) {
+			inWorld(t, 2, func(w *world) {
+				w.settle()
+				spec := steps("a", "short", 2)
+				w.store.SetFault(func(tx *fleet.Tx) fleetfake.Fault {
+					if tx != nil && tx.Expect[0].Table == TableOwner {
+						return f // the owner's commits, not the inbox
+					}
+					return fleetfake.None
+				})
+				time.Sleep(50 * time.Millisecond)
+				key := InboxSubmit + "a"
+				_, err := w.store.Commit(w.ctx, fleet.Tx{
+					Part:   "s",
+					Expect: []fleet.Row{{Table: TableInbox, Key: key}},
+					Put:    []fleet.Row{{Table: TableInbox, Key: key, Value: workload.Encode(workload.Accepted{Spec: spec})}},
+				})
+				if err != nil {
+					t.Fatal(err)
+				}
+				for range 5 {
+					ctx, cancel := context.WithTimeout(w.ctx, 300*time.Millisecond)
+					_ = w.owner.Submit(ctx, spec) // any answer but a loss is fine
+					cancel()
+				}
+				noStoreFault(w)
+				w.await("a", workload.Completed, 10*time.Second)
+			})
+		})
+	}
+}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -29,6 +29,7 @@
 	shown      workload.State  // the newest durable state
 	stored     bool            // the accepted row is durable
 	sent       bool            // a commit with the accepted row was sent
+	kept       bool            // the job lies in the inbox: it is accepted and must not be forgotten
 	arrived    bool            // it came from another shard and stays here
 	delivering bool            // it is on its way to another shard
 	dirty      bool            // the progress differs from the stored row
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -198,9 +198,13 @@
 			logger.WithField("key", r.Key).WithError(err).Error("an inbox row cannot be read")
 			continue
 		}
-		if s.jobs[a.Spec.ID] == nil {
-			s.admit(a.Spec, fleet.Clock(a.AtMillis)).arrived = a.Moved
+		j := s.jobs[a.Spec.ID]
+		if j == nil {
+			j = s.admit(a.Spec, fleet.Clock(a.AtMillis))
+			j.arrived = a.Moved
 		}
+		j.kept = true
+		j.answer(nil) // the inbox row is durable, and goes only with a commit that stores the job
 		s.inboxGone[r.Key] = true
 	}
 	for _, r := range rows {
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -219,7 +219,7 @@
 	}
 	s.mu.Lock()
 	if j, ok := s.jobs[a.Spec.ID]; ok {
-		if j.stored {
+		if j.stored || j.kept {
 			s.mu.Unlock()
 			return nil
 		}
@@ -269,7 +269,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !j.sent && !j.stored && s.jobs[j.spec.ID] == j {
+	if !j.sent && !j.stored && !j.kept && s.jobs[j.spec.ID] == j {
 		s.forget(j)
 		j.answer(result.Errorf(result.JobNotStored, "the store is away"))
 		return result.Errorf(result.JobNotStored, "the store is away")
