--- a/Makefile
+++ b/Makefile
@@ -20,10 +20,10 @@
 	done
 
 fmt:
-	$(GO) tool gofumpt -w cmd internal test
+	$(GO) tool gofumpt -w cmd internal platform test
 
 lint:
-	@out=$$($(GO) tool gofumpt -l cmd internal test); if [ -n "$$out" ]; then echo "not formatted: $$out"; exit 1; fi
+	@out=$$($(GO) tool gofumpt -l cmd internal platform test); if [ -n "$$out" ]; then echo "not formatted: $$out"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) vet -tags chaos,measure ./test/...
 	$(GO) tool staticcheck ./...
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -558,14 +558,3 @@
 	}
 	return float64(t.step.Needs.MilliCPU) * float64(d.Milliseconds())
 }
-
-// openTo reports whether any host of the shard could ever run the step.
-func (s *Shard) openTo(st *workload.Step, service string) bool {
-	for _, h := range s.hosts {
-		if h.listed && h.Service == service && st.Committed().Fits(h.Capacity) &&
-			(st.Label == "" || slices.Contains(h.Labels, st.Label)) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -98,7 +98,6 @@
 	bookAt     time.Duration // when it was last stored
 	summarized time.Duration
 	advised    map[string]*advice
-	cause      error // why the shard ended
 	cancel     context.CancelCauseFunc
 	idle       chan struct{} // closed and renewed after each commit cycle
 }
--- a/internal/fleetfake/workers.go
+++ b/internal/fleetfake/workers.go
@@ -28,7 +28,6 @@
 	checkpoint string
 	began      time.Time
 	stopped    time.Time
-	image      string
 }
 
 // Machine is a simulated worker.
--- a/internal/workload/spec.go
+++ b/internal/workload/spec.go
@@ -159,8 +159,14 @@
 			set    bool
 			letter string
 		}{
-			{st.Lasting, " lasting"}, {st.Fills, " fills"}, {st.Checkpoints, " ckpt"}, {st.Gang, " gang"}, {st.Copies, " copies"},
-			{st.MaxPerWorker > 0, " apart"}, {st.Label != "", " label"}, {st.Rack != "", " rack"},
+			{st.Lasting, " lasting"},
+			{st.Fills, " fills"},
+			{st.Checkpoints, " ckpt"},
+			{st.Gang, " gang"},
+			{st.Copies, " copies"},
+			{st.MaxPerWorker > 0, " apart"},
+			{st.Label != "", " label"},
+			{st.Rack != "", " rack"},
 		} {
 			if p.set {
 				b.WriteString(p.letter)
