--- /dev/null
+++ b/internal/dispatch/gang.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"skylarkport/internal/contract/fleet"
+	"skylarkport/internal/workload"
+)
+
+// placeGang places all members or none, in one rack where that pays.
+func (p *pass) placeGang(c *candidate, q *fleet.Queue, tickets map[string]string) {
+	racks := []string{""}
+	if c.step().OneRack {
+		racks = append(racksOf(p.slots), "")
+	}
+	for _, rack := range racks {
+		if chosen := p.gangSlots(c, q, rack, tickets); chosen != nil {
+			startGang(c, chosen, tickets, p.now)
+			return
+		}
+	}
+}
+
+func racksOf(slots []*slot) []string {
+	var out []string
+	for _, sl := range slots {
+		if !slices.Contains(out, sl.host.Rack) {
+			out = append(out, sl.host.Rack)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// gangSlots returns a slot per member, or nil.
+func (p *pass) gangSlots(c *candidate, q *fleet.Queue, rack string, tickets map[string]string) []*slot {
+	trial := make([]*slot, len(p.slots))
+	origin := make(map[*slot]*slot, len(p.slots))
+	for i, sl := range p.slots {
+		dup := *sl
+		dup.bearable = map[string]float64{}
+		trial[i], origin[&dup] = &dup, sl
+	}
+	var chosen []*slot
+	perHost := map[*slot]int{}
+	for _, t := range c.tasks {
+		if t.Phase != workload.Pending {
+			continue // placed by the gentle run
+		}
+		sl := p.best(t, q, trial, rack, tickets)
+		if sl == nil {
+			return nil
+		}
+		sl.take(t)
+		perHost[sl]++
+		chosen = append(chosen, origin[sl])
+		if limit := t.step.MaxPerWorker; limit > 0 && perHost[sl] >= limit {
+			trial = slices.DeleteFunc(trial, func(o *slot) bool { return o == sl })
+		}
+	}
+	return chosen
+}
+
+// startGang binds the members with one run number and one checkpoint.
+func startGang(c *candidate, chosen []*slot, tickets map[string]string, now time.Duration) {
+	run, checkpoint := 0, ""
+	for _, t := range c.tasks {
+		run = max(run, t.Run)
+		if checkpoint == "" {
+			checkpoint = t.Checkpoint
+		}
+	}
+	for i, t := range c.tasks {
+		t.Run, t.Checkpoint = run, checkpoint
+		t.ticket = tickets[chosen[i].host.ID]
+		chosen[i].take(t)
+		chosen[i].host.place(t, now)
+	}
+}
--- /dev/null
+++ b/internal/node/handover.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"skylarkport/internal/dispatch"
+	"skylarkport/internal/result"
+)
+
+// sendHome hands a shard over to a clearly better owner.
+func (o *owners) sendHome(ctx context.Context, own *ownership, s *dispatch.Shard) {
+	n := o.node
+	best := o.candidates(own.name, "")[0]
+	if best.Name == n.self.Name {
+		return
+	}
+	if _, _, since, ok := n.peers.live(best.Name); !ok || since < homePause {
+		return
+	}
+	o.mu.Lock()
+	own.busy, own.handover = true, time.Now()
+	o.mu.Unlock()
+	go func() {
+		o.handOver(ctx, own, s, best)
+		o.mu.Lock()
+		own.busy = false
+		o.mu.Unlock()
+	}()
+}
+
+// handOver drains a shard and lets another instance claim it.
+func (o *owners) handOver(ctx context.Context, own *ownership, s *dispatch.Shard, to Instance) bool {
+	dctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	s.Drain(dctx)
+	cancel()
+	o.mu.Lock()
+	req := ClaimRequest{Shard: own.name, Epoch: s.Epoch(), Version: own.version}
+	stop, done := own.stop, own.done
+	o.mu.Unlock()
+	cctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	var out Outcome
+	err := o.node.peers.call(cctx, to.Control, methodClaim, req, &out)
+	if err == nil {
+		err = out.err()
+	}
+	if err != nil {
+		logger.WithField("shard", own.name).WithField("to", to.Name).WithError(err).Info("shard was not handed over")
+		s.Resume()
+		return false
+	}
+	logger.WithField("shard", own.name).WithField("to", to.Name).Info("shard handed over")
+	if stop != nil {
+		stop()
+		<-done
+	}
+	return true
+}
+
+// claim takes over a shard whose owner has drained it.
+func (o *owners) claim(ctx context.Context, r *ClaimRequest) error {
+	if o.node.leaving.Load() || o.node.layout.Load() == nil {
+		return result.Errorf(result.PeerRefused, "this instance is leaving or starting")
+	}
+	o.mu.Lock()
+	own := o.shards[r.Shard]
+	if own == nil || own.shard != nil || own.busy {
+		o.mu.Unlock()
+		return result.Errorf(result.PeerBusy, "shard %s", r.Shard)
+	}
+	own.busy = true
+	o.mu.Unlock()
+	defer func() {
+		o.mu.Lock()
+		own.busy = false
+		o.mu.Unlock()
+	}()
+	if !o.claimRow(ctx, own, r.Version, r.Epoch) {
+		return result.Errorf(result.PeerRefused, "the owner's row could not be written")
+	}
+	return nil
+}
+
+// leave hands all shards over before the instance ends.
+func (o *owners) leave(ctx context.Context) {
+	o.mu.Lock()
+	var mine []*ownership
+	for _, own := range o.shards {
+		if own.shard != nil {
+			mine = append(mine, own)
+		}
+	}
+	o.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, own := range mine {
+		wg.Go(func() { o.leaveOne(ctx, own) })
+	}
+	wg.Wait()
+}
+
+func (o *owners) leaveOne(ctx context.Context, own *ownership) {
+	o.mu.Lock()
+	s := own.shard
+	own.busy = true
+	o.mu.Unlock()
+	if s == nil {
+		return
+	}
+	for _, i := range o.candidates(own.name, o.node.self.Name) {
+		if i.Name == o.node.self.Name {
+			continue
+		}
+		if o.handOver(ctx, own, s, i) || ctx.Err() != nil {
+			return
+		}
+	}
+}
