--- /dev/null
+++ b/internal/dispatch/bench_test.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+
+	"skylarkport/internal/resource"
+	"skylarkport/internal/workload"
+)
+
+// BenchmarkPlan plans over 48 workers full of serving runs, with a thousand filling
+// tasks of nine images that wait, as on the heaviest days.
+func BenchmarkPlan(b *testing.B) {
+	f := newFixture(48)
+	f.cfg.Metrics = noMetrics()
+	for i := range 40 {
+		f.add(fmt.Sprint("serve", i), "short", workload.Step{
+			Tasks: 6, Lasting: true, Image: fmt.Sprint("s", i%5), TargetMillis: 150, Needs: resource.Vector{MilliCPU: 1900, MemoryMB: 9000},
+		})
+	}
+	f.plan(f.now)
+	f.run()
+	for i := range 5 {
+		f.images.quiet[fmt.Sprint("s", i)] = 33
+		for j := range 9 {
+			f.images.pairs[imagePair{fmt.Sprint("f", j), fmt.Sprint("s", i)}] = weight{float64((i+j)%2) * 3, 0.01}
+		}
+	}
+	for _, h := range f.hosts {
+		for _, t := range h.tasks {
+			t.gauge = 100
+		}
+	}
+	for i := range 130 {
+		f.add(fmt.Sprint("fill", i), "batch", workload.Step{Tasks: 8, Fills: true, Image: fmt.Sprint("f", i%9), Needs: resource.Vector{MilliCPU: 3500, MemoryMB: 13000}})
+	}
+	f.plan(f.now)
+	b.ResetTimer()
+	for range b.N {
+		f.plan(f.now)
+	}
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -12,7 +12,7 @@
 
 // Urgency classes of startable tasks, the first to be placed first.
 const (
-	classOverdue  = iota // lasting, and waited for long while other shards may have room
+	classOverdue  = iota // lasting, and waits for long already
 	classOnTime          // its job can still end in time; it is short and soon gives its room back
 	classLasting         // users wait for it all the time
 	classLate            // its job can still end within lateFactor times its time
@@ -190,9 +190,10 @@
 	return true
 }
 
-// overdueAfter is how long a lasting task waits until it goes before short ones
-// where there are other shards: its job cannot move there any more.
-const overdueAfter = 1500 * time.Millisecond
+// overdueAfter is how long a lasting task waits until it goes before short ones.
+// Between the ends and starts of short tasks some room is always free, and the
+// platform holds a lasting task that does not run for lost after six seconds.
+const overdueAfter = 2500 * time.Millisecond
 
 // rank sets the urgency of c.
 func (s *Shard) rank(c *candidate, j *job, k, step int, q *fleet.Queue) *candidate {
@@ -203,7 +204,7 @@
 	}
 	if j.spec.Steps[step].Lasting {
 		c.class = classLasting
-		if s.cfg.Handover != nil && s.now()-c.first().readyAt > overdueAfter {
+		if s.now()-c.first().readyAt > overdueAfter {
 			c.class = classOverdue
 		}
 		return c
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -139,6 +139,10 @@
 			f.add("a", "short", workload.Step{Tasks: 1, Needs: whole, Lasting: true})
 			f.add("b", "short", workload.Step{Tasks: 1, Needs: whole})
 		}, "b"},
+		{"overdue lasting before short", func(f *fixture) {
+			f.add("a", "short", workload.Step{Tasks: 1, Needs: whole})
+			f.add("b", "short", workload.Step{Tasks: 1, Needs: whole, Lasting: true}).tasks[0][0].readyAt -= 3 * time.Second
+		}, "b"},
 		{"lasting before late", func(f *fixture) {
 			f.add("a", "short", workload.Step{Tasks: 1, Needs: whole}).at -= 60000
 			f.add("b", "short", workload.Step{Tasks: 1, Needs: whole, Lasting: true})
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -152,9 +152,9 @@
 	if err := s.load(ctx); err != nil {
 		return err
 	}
-	close(s.loaded)
 	logger.WithField("shard", s.cfg.Name).WithField("epoch", s.cfg.Epoch).
 		WithField("jobs", len(s.jobs)).Info("shard loaded")
+	close(s.loaded)
 	g, ctx := errgroup.WithContext(ctx)
 	s.hostCtx = ctx
 	g.Go(func() error { return s.watchRegistry(ctx) })
--- a/internal/fleetfake/workers.go
+++ b/internal/fleetfake/workers.go
@@ -424,3 +424,10 @@
 	defer w.mu.Unlock()
 	return w.machines[id].draining || w.machines[id].dead
 }
+
+// SetDuration replaces Duration.
+func (w *Workers) SetDuration(f func(task string) time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Duration = f
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -171,11 +171,9 @@
 	if err != nil {
 		return result.Wrap(result.SettingsAddress, err, "control")
 	}
-	daemon.Actor(&g, func(ctx context.Context) error { return n.listenPeers(ctx, control) })
-	daemon.Actor(&g, n.configs.followStore)
-	daemon.Actor(&g, n.configs.followPeers)
-	daemon.Actor(&g, n.peers.run)
-	daemon.Actor(&g, n.join)
+	for _, part := range n.parts(control) {
+		daemon.Actor(&g, part)
+	}
 	daemon.Actor(&g, func(ctx context.Context) error { return n.reload(ctx, file) })
 	front := &http.Server{
 		Addr: n.settings.Front, Handler: n.deps.Front(n),
@@ -203,6 +201,17 @@
 	return g.Run()
 }
 
+// parts returns what runs beside the servers for callers, until its context ends.
+func (n *Node) parts(control net.Listener) []func(context.Context) error {
+	return []func(context.Context) error{
+		func(ctx context.Context) error { return n.listenPeers(ctx, control) },
+		n.configs.followStore,
+		n.configs.followPeers,
+		n.peers.run,
+		n.join,
+	}
+}
+
 func closeServer(s *http.Server) {
 	if err := s.Close(); err != nil {
 		logger.WithError(err).Debug("server closed with an error")
