An unanswered start is looked for before it is stopped

Change: the worker's next list decides; only a run that is not listed is stopped, which keeps a late start away for good.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -170,6 +170,10 @@
 		s.seeRun(t, r, now)
 	}
 	for name, t := range h.tasks {
+		if !listed[name] && t.stage == stageDoubt && sent > t.since && !t.stopWanted {
+			t.stopWanted = true // it may still come: the stop keeps it away for good
+			s.inspectStop(t, h, now)
+		}
 		if !listed[name] && s.absent(t, sent) {
 			s.cfg.Metrics.RunVanished()
 			logger.WithField("task", name).WithField("run", t.Run).WithField("worker", h.ID).
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -60,11 +60,11 @@
 	}
 	now := s.now()
 	if err != nil && contract.OutcomeOf(err) != contract.Refused {
-		t.stage, t.since, t.stopWanted = stageDoubt, now, true
+		t.stage, t.since = stageDoubt, now
 		h.unanswered[t.name] = lateStart{run, now + lateFor}
 		s.cfg.Metrics.StartUnknown()
 		logger.WithField("task", t.name).WithField("run", run).WithField("worker", h.ID).WithError(err).Info("start was not answered")
-		s.inspectStop(t, h, now)
+		h.kick() // its next list shows whether the run is there
 		return
 	}
 	if err == nil && r == fleet.StartAccepted {
--- a/internal/dispatch/shard_test.go
+++ b/internal/dispatch/shard_test.go
@@ -249,3 +249,23 @@
 		}
 	})
 }
+
+// TestUnansweredStartIsKept: a run whose start was carried out without an answer goes
+// on, since the worker's list shows it.
+func TestUnansweredStartIsKept(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		w.workers.Duration = func(string) time.Duration { return 3 * time.Second }
+		w.settle()
+		w.workers.SetFault(func(kind, _ string) fleetfake.Fault {
+			if kind == "start" {
+				return fleetfake.AnswerLost
+			}
+			return fleetfake.None
+		})
+		w.submit(steps("a", "batch", 4))
+		w.await("a", workload.Completed, 10*time.Second)
+		if w.workers.Starts != 4 {
+			t.Errorf("%d starts, want 4", w.workers.Starts)
+		}
+	})
+}
