A shard whose row names an instance without it gets another owner

The row then named an instance that lived, was well and did not run the shard, so no instance acted: all leases lapsed. Ruled out: stuck commits (the old owner was deposed and ended), silent owners. Change: an owner's own word (its pings) has to name the shard, else it is taken over after three pings. Test: TestLateClaim, red before.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"skylarkport/internal/contract/fleet"
+	"skylarkport/internal/dispatch"
 	"skylarkport/internal/fleetfake"
 	"skylarkport/internal/job"
 	"skylarkport/internal/obs"
@@ -249,3 +250,34 @@
 		}
 	}
 }
+
+// TestLateClaim: a claim that the store carries out after its instance gave it up
+// leaves a row that names an instance without the shard; another one takes over.
+func TestLateClaim(t *testing.T) {
+	c := newCluster(t, 3)
+	old := c.owner()
+	var named *member
+	for _, m := range c.nodes {
+		if m != old {
+			named = m
+		}
+	}
+	c.eventually("the owner is known", func() bool { _, ok := named.owners.of(wholeShard); return ok })
+	row, cur, err := old.owners.readOwner(t.Context(), wholeShard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	late := ownerRow{Owner: named.self.Name, Control: named.self.Control, Life: named.self.Life, Epoch: cur.Epoch + 1}
+	res, err := c.store.Commit(t.Context(), fleet.Tx{
+		Part:   wholeShard,
+		Expect: []fleet.Row{{Table: dispatch.TableOwner, Key: dispatch.KeyOwner, Version: row.Version}},
+		Put:    []fleet.Row{{Table: dispatch.TableOwner, Key: dispatch.KeyOwner, Value: workload.Encode(late)}},
+	})
+	if err != nil || !res.Applied {
+		t.Fatal(res, err)
+	}
+	c.eventually("the old owner is deposed", func() bool { return old.owners.here(wholeShard) == nil })
+	next := c.owner()
+	c.submit(next, "000000000000000a", false)
+	c.completed("000000000000000a")
+}
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -14,10 +14,11 @@
 	ownerCheck = 100 * time.Millisecond
 	// Pauses before an instance takes over a shard, by the reason, and more for
 	// each better candidate.
-	unownedPause = 300 * time.Millisecond
-	silentPause  = 700 * time.Millisecond
-	ailingPause  = 900 * time.Millisecond
-	rankPause    = 500 * time.Millisecond
+	unownedPause   = 300 * time.Millisecond
+	silentPause    = 700 * time.Millisecond
+	ailingPause    = 900 * time.Millisecond
+	unclaimedPause = 1200 * time.Millisecond // three pings
+	rankPause      = 500 * time.Millisecond
 	// homePause is how long a better candidate has to be alive until the owner
 	// hands a shard over to it.
 	homePause = 4 * time.Second
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -117,6 +117,15 @@
 	return k.storeOK, k.leaving, time.Since(k.firstLive), true
 }
 
+// owns reports whether the instance's newest word names it as the owner of a shard
+// under that epoch or a higher one.
+func (p *peers) owns(name, shard string, epoch int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k := p.byName[name]
+	return k != nil && slices.ContainsFunc(k.owned, func(w Owned) bool { return w.Shard == shard && w.Epoch >= epoch })
+}
+
 // life is the newest known life of an instance.
 func (p *peers) life(name string) int64 {
 	p.mu.Lock()
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -28,6 +28,11 @@
 	if _, _, _, live := n.peers.live(known.Owner); !live {
 		return silentPause, true, true
 	}
+	if !n.peers.owns(known.Owner, known.Shard, known.Epoch) {
+		// The row names an instance that does not run the shard: a claim may be
+		// carried out after its instance gave it up.
+		return unclaimedPause, true, false
+	}
 	return ailingPause, known.Ailing, false
 }
 
