--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -151,5 +151,5 @@
 	h.quarantine = now + min(quarantineMin<<h.quarantines, quarantineMax)
 	h.quarantines = min(h.quarantines+1, 3)
 	s.cfg.Metrics.Quarantined()
-	logger.WithField("worker", h.ID).WithField("why", why).WithField("until", h.quarantine.String()).Warn("worker set aside")
+	logger.WithField("worker", h.ID).WithField("why", why).WithField("for", (h.quarantine - now).String()).Warn("worker set aside")
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,7 +141,9 @@
 	if err != nil {
 		return err
 	}
-	if err := obs.Setup(os.Stdout, "json", s.LogLevel); err != nil {
+	out := obs.NewQueue(os.Stdout)
+	defer out.Close()
+	if err := obs.Setup(out, "json", s.LogLevel); err != nil {
 		return err
 	}
 	debug.SetGCPercent(collectorPercent)
