The start of a server's shutdown does not end the instance's parts

Ruled out: the grace period (3.3 s were left), the balancer (connections were old). Change: a server's part ends with the group.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -191,7 +191,7 @@
 		if err != nil {
 			return result.Wrap(result.SettingsAddress, err, s.Addr)
 		}
-		g.Add(func() error { return s.Serve(l) }, func(error) { closeServer(s) })
+		addServer(&g, s, l)
 	}
 	daemon.Actor(&g, func(ctx context.Context) error {
 		err := daemon.WaitSignal(ctx)
@@ -214,6 +214,22 @@
 	}
 }
 
+// addServer adds s to g. The start of its shutdown must not end the group: that
+// would close the connections of requests in flight.
+func addServer(g *run.Group, s *http.Server, l net.Listener) {
+	interrupted := make(chan struct{})
+	g.Add(func() error {
+		err := s.Serve(l)
+		if errors.Is(err, http.ErrServerClosed) {
+			<-interrupted
+		}
+		return err
+	}, func(error) {
+		close(interrupted)
+		closeServer(s)
+	})
+}
+
 func closeServer(s *http.Server) {
 	if err := s.Close(); err != nil {
 		logger.WithError(err).Debug("server closed with an error")
