Commits and rows stay within the store's limits at their largest

Cause: a commit of 40 new jobs with inbox rows, ended jobs and images could have 104 entries, and the progress of a job of 1,000 tasks 90 KB; the store takes 100 and 64 KB, and the owner would have tried for ever. Change: 36 jobs a commit, 600 tasks a job; the tests' store rejects what is larger.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -28,8 +28,10 @@
 	// Pauses between tries of a commit.
 	commitRetryMin = 40 * time.Millisecond
 	commitRetryMax = 300 * time.Millisecond
-	// maxBatch keeps a commit under the store's 100 entries; a job takes two.
-	maxBatch = 40
+	// maxBatch bounds the jobs of a commit. With two rows a job, a quarter as many
+	// inbox rows, an eighth as many ended jobs and four single rows it stays under
+	// the store's 100 entries a call.
+	maxBatch = 36
 	// maxBatchBytes keeps a commit under the store's 1 MB, which counts base64.
 	maxBatchBytes = 500 << 10
 	// Promise is how long after its last commit an owner may renew leases. It
--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -298,3 +298,36 @@
 		})
 	}
 }
+
+// TestFullInbox: an owner that finds hundreds of jobs in its inbox stores them in
+// commits that the store takes.
+func TestFullInbox(t *testing.T) {
+	const jobs = 230
+	inWorld(t, 4, func(w *world) {
+		w.end()
+		for i := range jobs {
+			spec := steps(fmt.Sprint("a", i), "short", 1)
+			_, err := w.store.Commit(w.ctx, fleet.Tx{Part: "s", Put: []fleet.Row{
+				{Table: TableInbox, Key: InboxSubmit + spec.ID, Value: workload.Encode(workload.Accepted{Spec: spec})},
+			}})
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		w.takeOver()
+		for i := range jobs {
+			w.await(fmt.Sprint("a", i), workload.Completed, time.Minute)
+		}
+	})
+}
+
+// TestLargestJobFitsItsRow stores and runs a job of the most tasks that are accepted.
+func TestLargestJobFitsItsRow(t *testing.T) {
+	inWorld(t, 8, func(w *world) {
+		w.settle()
+		spec := steps("a", "batch", 600)
+		spec.Steps[0].Needs.MilliCPU, spec.Steps[0].Needs.MemoryMB = 100, 100
+		w.submit(spec)
+		w.await("a", workload.Completed, time.Minute)
+	})
+}
--- a/internal/fleetfake/store.go
+++ b/internal/fleetfake/store.go
@@ -81,9 +81,28 @@
 	return &contract.CallError{Outcome: contract.Unknown, Code: result.PlatformUnknown, Detail: "no answer"}
 }
 
+// Limits of a call and a row, as the platform has them.
+const (
+	maxEntries  = 100
+	maxRowBytes = 64 << 10
+)
+
+// tooLarge reports whether the platform would reject tx as malformed.
+func tooLarge(tx fleet.Tx) bool {
+	for _, r := range tx.Put {
+		if len(r.Value) > maxRowBytes {
+			return true
+		}
+	}
+	return len(tx.Expect)+len(tx.Put)+len(tx.Delete) > maxEntries
+}
+
 // Commit implements fleet.Store.
 func (s *Store) Commit(ctx context.Context, tx fleet.Tx) (fleet.TxResult, error) {
 	time.Sleep(storeDelay)
+	if tooLarge(tx) {
+		return fleet.TxResult{}, refused()
+	}
 	switch s.fault(&tx) {
 	case Refused:
 		return fleet.TxResult{}, refused()
--- a/internal/workload/spec.go
+++ b/internal/workload/spec.go
@@ -13,8 +13,8 @@
 
 // Limits of one job, so that its progress fits a row of the store.
 const (
-	maxSteps = 64   // far above the five steps seen in the largest jobs
-	maxTasks = 1000 // 64 KiB a row at about 60 bytes a task
+	maxSteps = 64  // far above the five steps seen in the largest jobs
+	maxTasks = 600 // 64 KiB a row at up to 90 bytes a task
 )
 
 // Step is a set of equal tasks that may start together.
