Workers are not polled while their ends wait for the store

Cause: a worker answers a hold at once while it lists ends; with the store away these stay unacknowledged, and each answer was followed by the next hold. Ruled out: short waits (holds wait a second otherwise). Change: the wait for durable ends comes before every hold.

--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -331,3 +331,22 @@
 		w.await("a", workload.Completed, time.Minute)
 	})
 }
+
+// TestSilentStoreAndEndsThatWait: workers with ends that cannot be stored are asked at
+// the pace of their leases, not as fast as they answer.
+func TestSilentStoreAndEndsThatWait(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		w.settle()
+		w.submit(steps("a", "short", 6))
+		time.Sleep(100 * time.Millisecond)
+		storeFault(fleetfake.Lost)(w)
+		time.Sleep(time.Second) // the runs end, and their ends wait
+		before := w.workers.Holds
+		time.Sleep(4 * time.Second)
+		if n := w.workers.Holds - before; n > 24 {
+			t.Errorf("%d holds of two workers in 4 s", n)
+		}
+		noStoreFault(w)
+		w.await("a", workload.Completed, 10*time.Second)
+	})
+}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -42,11 +42,12 @@
 			pause.For(ctx, holdRetry)
 			continue
 		}
-		if s.heard(h, order, sent, report) {
-			s.awaitDurable(ctx, h)
-		} else if report.Refused != fleet.StartAccepted {
+		s.heard(h, order, sent, report)
+		if report.Refused != fleet.StartAccepted {
 			pause.For(ctx, holdRetry)
+			continue
 		}
+		s.awaitDurable(ctx, h)
 	}
 }
 
@@ -79,7 +80,7 @@
 }
 
 // awaitDurable waits until the ends that h reported are durable, so that they
-// are acknowledged and not listed again.
+// are acknowledged: a worker answers at once while it has others to list.
 func (s *Shard) awaitDurable(ctx context.Context, h *host) {
 	timer := time.NewTimer(durableWait)
 	defer timer.Stop()
@@ -100,9 +101,8 @@
 	}
 }
 
-// heard takes in the answer to a hold that was sent at sent. It reports whether
-// new ends were listed.
-func (s *Shard) heard(h *host, order fleet.Hold, sent time.Duration, report fleet.HoldReport) bool {
+// heard takes in the answer to a hold that was sent at sent.
+func (s *Shard) heard(h *host, order fleet.Hold, sent time.Duration, report fleet.HoldReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -110,17 +110,17 @@
 	case fleet.StartAccepted:
 	case fleet.StartFenced:
 		s.depose("a worker has seen a higher epoch")
-		return false
+		return
 	default:
 		// Another life answered, or the worker sheds: the registry tells more.
 		if h.silent == 0 {
 			h.silent = now
 		}
-		return false
+		return
 	}
 	if report.Life > h.Life && h.seen {
 		s.reborn(h, report.Life)
-		return false // the answer's lists are asked for again with a fresh cursor
+		return // the answer's lists are asked for again with a fresh cursor
 	}
 	h.Life = max(h.Life, report.Life)
 	if s.noted[h.ID] {
@@ -134,12 +134,10 @@
 		h.leaseUntil = report.Clock + s.cfg.Bounds.LeaseMax.Milliseconds() // an earlier owner may have given it
 	}
 	h.heard(report.Clock, now)
-	fresh := s.applyEnds(h, report.Ended)
-	s.applyRunning(h, sent, report)
-	if fresh {
+	if s.applyEnds(h, report.Ended) {
 		s.kick()
 	}
-	return fresh
+	s.applyRunning(h, sent, report)
 }
 
 // applyEnds records the ends that were not applied yet.
--- a/internal/fleetfake/workers.go
+++ b/internal/fleetfake/workers.go
@@ -70,8 +70,8 @@
 	// Wrong lists broken promises: doubled runs, overfull machines.
 	Wrong []string
 	done  map[string]int64 // tasks whose success was acknowledged
-	// Starts counts accepted starts.
-	Starts int
+	// Starts counts accepted starts, Holds the holds.
+	Starts, Holds int
 }
 
 // NewWorkers returns workers that register in store.
@@ -366,6 +366,9 @@
 // Hold implements fleet.Workers.
 func (w *Workers) Hold(ctx context.Context, h fleet.Hold) (fleet.HoldReport, error) {
 	var out fleet.HoldReport
+	w.mu.Lock()
+	w.Holds++
+	w.mu.Unlock()
 	deadline := time.Now().Add(time.Duration(h.WaitMillis) * time.Millisecond)
 	for {
 		r, err := w.order(ctx, "hold", h.Worker, func(m *Machine) fleet.StartResult {
