A caller that leaves closes no shared connection

Cause: calls to a peer share one connection, and any call that ended without an answer closed it: with callers that leave early, other jobs ended in doubt (504). Ruled out: slow owners (the calls that broke had just been sent). Change: only an unanswered ping or a broken connection closes it. Test: TestLeavingCallerBreaksNoOtherCall, red before.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -281,3 +281,36 @@
 	c.submit(next, "000000000000000a", false)
 	c.completed("000000000000000a")
 }
+
+// TestLeavingCallerBreaksNoOtherCall: calls to a peer share one connection, which a
+// caller that gives up must not close.
+func TestLeavingCallerBreaksNoOtherCall(t *testing.T) {
+	c := newCluster(t, 2)
+	owner := c.owner()
+	other := c.nodes[0]
+	if other == owner {
+		other = c.nodes[1]
+	}
+	c.eventually("the owner is known", func() bool { _, ok := other.owners.of(wholeShard); return ok })
+	control := owner.self.Control
+	var out PendingReply
+	if err := other.peers.call(t.Context(), control, methodPending, struct{}{}, &out); err != nil {
+		t.Fatal(err)
+	}
+	other.peers.mu.Lock()
+	peer := other.peers.byName[owner.self.Name]
+	other.peers.mu.Unlock()
+	peer.mu.Lock()
+	before := peer.conn
+	peer.mu.Unlock()
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := other.peers.call(gone, control, methodPending, struct{}{}, &out); err == nil {
+		t.Fatal("a call of a caller that left was answered")
+	}
+	peer.mu.Lock()
+	defer peer.mu.Unlock()
+	if peer.conn != before {
+		t.Error("the connection was closed")
+	}
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"skylarkport/internal/pause"
@@ -213,18 +214,23 @@
 	return p.node.heardLayout.Load()
 }
 
-// callPeer calls a method of a peer. An error other than NotSent leaves open
-// whether the call had an effect.
+// callPeer calls a method of a peer. An error with a code other than PeerAway
+// leaves open whether the call had an effect.
 func (p *peers) callPeer(ctx context.Context, k *peer, method string, in, out any) error {
 	conn, err := p.connect(ctx, k)
 	if err != nil {
 		return result.Wrap(result.PeerAway, err, k.Name)
 	}
-	if err := conn.Call(ctx, method, in, out); err != nil {
+	err = conn.Call(ctx, method, in, out)
+	if err == nil {
+		return nil
+	}
+	if method == methodPing || !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
+		// Calls share the connection: a caller that leaves or waits too long says
+		// nothing about it, an unanswered ping does.
 		k.drop(conn)
-		return result.Wrap(result.OutcomeUnknown, err, k.Name)
 	}
-	return nil
+	return result.Wrap(result.OutcomeUnknown, err, k.Name)
 }
 
 // call calls a method of the instance at a control address.
