--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -132,7 +132,7 @@
 	t.Phase, t.Run = workload.Placed, t.Run+1
 	t.Worker, t.Life = h.ID, h.Life
 	t.stage, t.since = stagePlanned, now
-	t.stopWanted, t.preempted, t.stopSent, t.stopAnswer = false, false, 0, 0
+	t.stopWanted, t.stopSent, t.stopAnswer = false, 0, 0
 	t.percent, t.progressed, t.gauge, t.pace, t.overTarget, t.loadAt = 0, now, 0, 0, 0, 0
 	t.startPace = 0
 	h.tasks[t.name] = t
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -49,7 +49,6 @@
 	since      time.Duration // when the stage began
 	readyAt    time.Duration // when it last became pending
 	stopWanted bool
-	preempted  bool
 	stopSent   time.Duration
 	stopAnswer time.Duration // when a stop of this run was answered, 0 for never
 	percent    int
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -49,7 +49,7 @@
 		return
 	}
 	for _, v := range victims {
-		v.stopWanted, v.preempted = true, true
+		v.stopWanted = true
 		target.coming = target.coming.Add(v.step.Committed())
 		s.inspectStop(v, target.host, now)
 	}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -73,8 +73,7 @@
 	return err
 }
 
-// try calls f until it is done, the caller's time is up, or nothing can change
-// soon.
+// try calls f until it is done or the time for it is up.
 func (n *Node) try(ctx context.Context, f func(context.Context) (done bool, err error)) error {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
