An owner's promise counts from its last commit, and is 5 s

Change: the beat row holds the store's clock of the commit; the promise is 5 s from there, and a second covers what two estimates of that clock differ by.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -34,10 +34,10 @@
 	maxBatch = 36
 	// maxBatchBytes keeps a commit under the store's 1 MB, which counts base64.
 	maxBatchBytes = 500 << 10
-	// Promise is how long after its last commit an owner may renew leases. It
-	// covers outages of the store of some seconds; a successor that cannot reach
-	// a worker waits for it.
-	Promise = 9 * time.Second
+	// Promise is how long after its last commit an owner may renew leases. With the
+	// last lease, runs outlive outages of the store of about ten seconds; a successor
+	// that cannot reach a worker waits for both.
+	Promise = 5 * time.Second
 )
 
 // beatRow is the value of the beat row. Each commit renews it, so that a commit
@@ -45,6 +45,9 @@
 type beatRow struct {
 	Epoch int64 `json:"e"`
 	Seq   int64 `json:"n"`
+	// At is the store's clock, by the owner's estimate, when the commit was built.
+	// The owner's promise counts from it.
+	At int64 `json:"at"`
 	// Lapses names the workers that this owner cannot reach and the store's
 	// clock at which every lease given to them is over.
 	Lapses map[string]int64 `json:"l,omitempty"`
@@ -64,6 +67,7 @@
 	beat    beatRow
 	beats   bool // the beat itself is worth a commit
 	since   time.Duration
+	built   time.Duration
 }
 
 // lifeEnd is the number of an end in a worker's life. Numbers begin anew in the
@@ -110,7 +114,8 @@
 func (s *Shard) collect() *batch {
 	b := &batch{
 		beats: s.renounce(),
-		beat:  beatRow{Epoch: s.cfg.Epoch, Seq: s.beat.Seq + 1, Lapses: s.lapses()}, ends: map[*host]lifeEnd{},
+		beat:  beatRow{Epoch: s.cfg.Epoch, Seq: s.beat.Seq + 1, At: int64(s.storeNow()), Lapses: s.lapses()},
+		built: s.now(), ends: map[*host]lifeEnd{},
 		tx: fleet.Tx{Part: s.cfg.Name, Expect: []fleet.Row{
 			{Table: TableOwner, Key: KeyOwner, Version: s.cfg.OwnerRow},
 			{Table: TableBeat, Key: KeyBeat, Version: s.beatVer},
@@ -364,7 +369,7 @@
 		s.beat, s.beatVer = b.beat, res.Version
 		clear(s.noted)
 		s.note(b.beat.Lapses)
-		s.lastCommit = s.now()
+		s.lastCommit, s.promised = s.now(), b.built
 		s.cfg.Metrics.Committed(s.lastCommit-b.since, len(b.jobs))
 		s.sawClock(res.Clock)
 		if s.storeLost > 0 {
--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -350,3 +350,31 @@
 		w.await("a", workload.Completed, 10*time.Second)
 	})
 }
+
+// TestWorkersThatDieWithTheirOwner: the successor starts the runs of workers that it
+// never reached as soon as the earlier owner's promise, counted from its last commit,
+// and the last lease are over.
+func TestWorkersThatDieWithTheirOwner(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		w.workers.Duration = func(string) time.Duration { return time.Hour }
+		w.settle()
+		spec := steps("a", "short", 2)
+		spec.Steps[0].Lasting = true
+		spec.Steps[0].MaxPerWorker = 1
+		w.submit(spec)
+		time.Sleep(time.Second)
+		for _, id := range []string{"w00", "w01", "w02"} {
+			if w.workers.RunningOn(id) > 0 {
+				w.workers.Kill(id)
+				break
+			}
+		}
+		w.end()
+		time.Sleep(2 * time.Second) // the takeover takes its time
+		w.takeOver()
+		time.Sleep(Promise + fleetfake.LeaseMax - time.Second)
+		if n := w.workers.Running("a"); n != 2 {
+			t.Errorf("%d runs, want both", n)
+		}
+	})
+}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -62,7 +62,7 @@
 	}
 	order.Acked = h.durable
 	order.WaitMillis = holdWait.Milliseconds()
-	if now-s.lastCommit < Promise && len(h.tasks) > 0 && !s.noted[h.ID] {
+	if now-s.promised < Promise && len(h.tasks) > 0 && !s.noted[h.ID] {
 		order.LeaseUntil = h.workerClock(now) + s.cfg.Bounds.LeaseMax.Milliseconds()
 		h.grant(order.LeaseUntil)
 	}
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -109,16 +109,22 @@
 }
 
 // inheritedLapse is when every lease that an earlier owner gave to a worker is
-// over: as that owner noted, or at the end of its promise.
+// over: as that owner noted, or at the end of its promise, which counts from its
+// last commit.
 func (s *Shard) inheritedLapse(worker string) time.Duration {
-	if at, ok := s.beat.Lapses[worker]; ok {
-		left := time.Duration(at-int64(s.storeNow())) * time.Millisecond
-		return s.now() + max(0, left) + lapseMargin
+	at, noted := s.beat.Lapses[worker]
+	if !noted {
+		lease := time.Duration(float64(s.cfg.Bounds.LeaseMax) * driftFactor)
+		at = int64(fleet.Clock(s.beat.At).Add(Promise + lease))
 	}
-	lease := time.Duration(float64(s.cfg.Bounds.LeaseMax) * driftFactor)
-	return s.now() + Promise + lease + lapseMargin
+	left := time.Duration(at-int64(s.storeNow())) * time.Millisecond
+	return s.now() + max(0, left) + clockSlack + lapseMargin
 }
 
+// clockSlack covers what two owners' estimates of the store's clock differ by. Each
+// lags by at most the time that an answer took, which the timeout of a call bounds.
+const clockSlack = readTimeout + 100*time.Millisecond
+
 // readAll reads the rows of a part and the version from which changes continue.
 // It tries until ctx ends.
 func (s *Shard) readAll(ctx context.Context, table, part string) ([]fleet.Row, int64, error) {
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -87,6 +87,7 @@
 	clockBase  fleet.Clock     // store's clock at clockAt
 	clockAt    time.Duration
 	lastCommit time.Duration
+	promised   time.Duration // when the last durable commit was built
 	storeLost  time.Duration // since when commits fail, 0 for none
 	committing time.Duration // since when a commit is under way, 0 for none
 	wake       chan struct{}
--- a/internal/fleetfake/workers.go
+++ b/internal/fleetfake/workers.go
@@ -434,3 +434,11 @@
 	defer w.mu.Unlock()
 	w.Duration = f
 }
+
+// RunningOn counts the live runs on a machine.
+func (w *Workers) RunningOn(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.machines[id].settle()
+	return len(w.machines[id].runs)
+}
