--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,12 +30,12 @@
 // commitFault hits every third commit and no read.
 func commitFault(f fleetfake.Fault) func(w *world) {
 	return func(w *world) {
-		n := 0
+		var n atomic.Int64
 		w.store.SetFault(func(tx *fleet.Tx) fleetfake.Fault {
 			if tx == nil {
 				return fleetfake.None
 			}
-			if n++; n%3 == 0 {
+			if n.Add(1)%3 == 0 {
 				return f
 			}
 			return fleetfake.None
@@ -46,12 +47,12 @@
 
 func orderFault(kind string, f fleetfake.Fault) func(w *world) {
 	return func(w *world) {
-		n := 0
+		var n atomic.Int64
 		w.workers.SetFault(func(k, _ string) fleetfake.Fault {
 			if k != kind {
 				return fleetfake.None
 			}
-			if n++; n%2 == 0 {
+			if n.Add(1)%2 == 0 {
 				return f
 			}
 			return fleetfake.None
@@ -65,7 +66,9 @@
 
 // replaceOwner makes a successor while the old owner lives on until it notices.
 func replaceOwner(w *world) {
+	w.mu.Lock()
 	old, ended := w.stop, w.ended
+	w.mu.Unlock()
 	w.takeOver()
 	go func() {
 		<-ended
@@ -135,7 +138,7 @@
 		for _, m := range moments {
 			t.Run(tr.name+"/"+m.name, func(t *testing.T) {
 				inWorld(t, 3, func(w *world) {
-					w.workers.LateCrossesLives = true
+					w.workers.LateCrossesLives()
 					playTrouble(w, tr, m.after)
 				})
 			})
@@ -170,7 +173,7 @@
 	for _, tr := range troubles {
 		t.Run(tr.name, func(t *testing.T) {
 			inWorld(t, 3, func(w *world) {
-				w.workers.Duration = func(string) time.Duration { return time.Minute }
+				w.workers.SetDuration(func(string) time.Duration { return time.Minute })
 				w.settle()
 				w.submit(steps("a", "batch", 6))
 				time.Sleep(200 * time.Millisecond)
@@ -178,7 +181,7 @@
 				time.Sleep(50 * time.Millisecond)
 				for {
 					ctx, cancel := context.WithTimeout(w.ctx, time.Second)
-					_, err := w.owner.Cancel(ctx, "a")
+					_, err := w.shard().Cancel(ctx, "a")
 					cancel()
 					if err == nil {
 						break
@@ -211,9 +214,9 @@
 }
 
 func walk(w *world, r *rand.Rand) {
-	w.workers.Duration = func(task string) time.Duration {
+	w.workers.SetDuration(func(task string) time.Duration {
 		return time.Duration(200+100*(len(task)+int(task[len(task)-1]))%1500) * time.Millisecond
-	}
+	})
 	w.settle()
 	jobs := 0
 	for range 6 + r.IntN(6) {
@@ -242,13 +245,13 @@
 // end gives it no longer ones until the store knows better.
 func TestNotedLapseIsRenouncedFirst(t *testing.T) {
 	inWorld(t, 2, func(w *world) {
-		w.workers.Duration = func(string) time.Duration { return 30 * time.Second }
+		w.workers.SetDuration(func(string) time.Duration { return 30 * time.Second })
 		w.settle()
 		w.submit(steps("a", "batch", 1))
 		time.Sleep(300 * time.Millisecond)
-		w.owner.mu.Lock()
-		worker := w.owner.jobs["a"].tasks[0][0].Worker
-		w.owner.mu.Unlock()
+		w.shard().mu.Lock()
+		worker := w.shard().jobs["a"].tasks[0][0].Worker
+		w.shard().mu.Unlock()
 		w.workers.Cut(worker, true)
 		time.Sleep(3 * time.Second) // the lapse is noted
 		w.workers.Cut(worker, false)
@@ -289,7 +292,7 @@
 				}
 				for range 5 {
 					ctx, cancel := context.WithTimeout(w.ctx, 300*time.Millisecond)
-					_ = w.owner.Submit(ctx, spec) // any answer but a loss is fine
+					_ = w.shard().Submit(ctx, spec) // any answer but a loss is fine
 					cancel()
 				}
 				noStoreFault(w)
@@ -341,9 +344,9 @@
 		time.Sleep(100 * time.Millisecond)
 		storeFault(fleetfake.Lost)(w)
 		time.Sleep(time.Second) // the runs end, and their ends wait
-		before := w.workers.Holds
+		before := w.workers.Holds()
 		time.Sleep(4 * time.Second)
-		if n := w.workers.Holds - before; n > 24 {
+		if n := w.workers.Holds() - before; n > 24 {
 			t.Errorf("%d holds of two workers in 4 s", n)
 		}
 		noStoreFault(w)
@@ -356,7 +359,7 @@
 // and the last lease are over.
 func TestWorkersThatDieWithTheirOwner(t *testing.T) {
 	inWorld(t, 3, func(w *world) {
-		w.workers.Duration = func(string) time.Duration { return time.Hour }
+		w.workers.SetDuration(func(string) time.Duration { return time.Hour })
 		w.settle()
 		spec := steps("a", "short", 2)
 		spec.Steps[0].Lasting = true
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,8 +26,9 @@
 	store   *fleetfake.Store
 	workers *fleetfake.Workers
 	config  *fleet.Config
+	owner   atomic.Pointer[Shard]
+	mu      sync.Mutex // guards what follows: troubles replace owners
 	epoch   int64
-	owner   *Shard
 	stop    context.CancelFunc
 	ended   chan error
 	adviser fleet.Adviser
@@ -57,8 +60,13 @@
 	})
 }
 
+// shard is the present owner's.
+func (w *world) shard() *Shard { return w.owner.Load() }
+
 // end ends the owner and waits for it.
 func (w *world) end() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.stop != nil {
 		w.stop()
 		<-w.ended
@@ -87,6 +95,8 @@
 // takeOver makes a new owner; an old one is left as it is.
 func (w *world) takeOver() {
 	w.t.Helper()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	var res fleet.TxResult
 	for {
 		w.epoch++
@@ -109,7 +119,8 @@
 		Metrics: NewMetrics(tally.NoopScope),
 	})
 	go func() { ended <- s.Run(ctx) }()
-	w.owner, w.stop, w.ended = s, cancel, ended
+	w.owner.Store(s)
+	w.stop, w.ended = cancel, ended
 }
 
 // steps returns a job of steps that follow each other, with tasks of one core.
@@ -132,7 +143,7 @@
 	deadline := time.Now().Add(time.Minute)
 	for time.Now().Before(deadline) {
 		ctx, cancel := context.WithTimeout(w.ctx, 2*time.Second)
-		err = w.owner.Submit(ctx, spec)
+		err = w.shard().Submit(ctx, spec)
 		cancel()
 		if err == nil {
 			return
@@ -146,7 +157,7 @@
 func (w *world) state(id string) workload.State {
 	ctx, cancel := context.WithTimeout(w.ctx, 2*time.Second)
 	defer cancel()
-	s, _, err := w.owner.State(ctx, id)
+	s, _, err := w.shard().State(ctx, id)
 	if err != nil {
 		return workload.State(err.Error())
 	}
--- a/internal/dispatch/shard_test.go
+++ b/internal/dispatch/shard_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,8 +18,8 @@
 		w.settle()
 		w.submit(steps("a", "short", 3, 5))
 		w.await("a", workload.Completed, 5*time.Second)
-		if w.workers.Starts != 8 {
-			t.Errorf("%d starts, want 8", w.workers.Starts)
+		if w.workers.Starts() != 8 {
+			t.Errorf("%d starts, want 8", w.workers.Starts())
 		}
 	})
 }
@@ -31,28 +32,28 @@
 		w.await("a", workload.Completed, 5*time.Second)
 		w.submit(steps("a", "short", 2))
 		time.Sleep(2 * time.Second)
-		if w.workers.Starts != 2 {
-			t.Errorf("%d starts, want 2", w.workers.Starts)
+		if w.workers.Starts() != 2 {
+			t.Errorf("%d starts, want 2", w.workers.Starts())
 		}
 	})
 }
 
 func TestFailedAttemptsEndTheJob(t *testing.T) {
 	inWorld(t, 4, func(w *world) {
-		w.workers.Fails = func(string, int) bool { return true }
+		w.workers.SetFails(func(string, int) bool { return true })
 		w.settle()
 		w.submit(steps("a", "short", 1))
 		w.await("a", workload.Failed, 10*time.Second)
-		if w.workers.Starts != 3 {
-			t.Errorf("%d starts, want the three attempts of the queue", w.workers.Starts)
+		if w.workers.Starts() != 3 {
+			t.Errorf("%d starts, want the three attempts of the queue", w.workers.Starts())
 		}
 	})
 }
 
 func TestLastingTaskIsRestarted(t *testing.T) {
 	inWorld(t, 4, func(w *world) {
-		w.workers.Duration = func(string) time.Duration { return 2 * time.Second }
-		w.workers.Fails = func(string, int) bool { return true }
+		w.workers.SetDuration(func(string) time.Duration { return 2 * time.Second })
+		w.workers.SetFails(func(string, int) bool { return true })
 		w.settle()
 		spec := steps("a", "short", 2)
 		spec.Steps[0].Lasting = true
@@ -62,7 +63,7 @@
 			t.Errorf("%d runs, want 2", n)
 		}
 		ctx := w.ctx
-		if _, err := w.owner.Cancel(ctx, "a"); err != nil {
+		if _, err := w.shard().Cancel(ctx, "a"); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(2 * time.Second)
@@ -86,28 +87,30 @@
 	inWorld(t, 4, func(w *world) {
 		w.settle()
 		spec := steps("a", "batch", 2)
-		now := w.owner.cfg.Unix(w.owner.storeNow()).UnixMilli()
+		w.shard().mu.Lock()
+		now := w.shard().cfg.Unix(w.shard().storeNow()).UnixMilli()
+		w.shard().mu.Unlock()
 		spec.Schedule = workload.Schedule{Times: 3, StartMillis: now + 1000, IntervalMillis: 2000}
 		w.submit(spec)
 		time.Sleep(900 * time.Millisecond)
-		if w.workers.Starts != 0 {
-			t.Errorf("%d starts before the first time", w.workers.Starts)
+		if w.workers.Starts() != 0 {
+			t.Errorf("%d starts before the first time", w.workers.Starts())
 		}
 		w.await("a", workload.Completed, 10*time.Second)
-		if w.workers.Starts != 6 {
-			t.Errorf("%d starts, want 6", w.workers.Starts)
+		if w.workers.Starts() != 6 {
+			t.Errorf("%d starts, want 6", w.workers.Starts())
 		}
 	})
 }
 
 func TestPreemption(t *testing.T) {
 	inWorld(t, 1, func(w *world) {
-		w.workers.Duration = func(task string) time.Duration {
+		w.workers.SetDuration(func(task string) time.Duration {
 			if task[0] == 'b' {
 				return 20 * time.Second
 			}
 			return 300 * time.Millisecond
-		}
+		})
 		w.settle()
 		long := steps("b", "batch", 8)
 		long.Steps[0].EstimateMillis = 20000
@@ -128,9 +131,9 @@
 			w.submit(steps(fmt.Sprint("a", i), "short", 2))
 		}
 		time.Sleep(200 * time.Millisecond)
-		w.owner.mu.Lock()
-		n := len(w.owner.hosts["w00"].tasks)
-		w.owner.mu.Unlock()
+		w.shard().mu.Lock()
+		n := len(w.shard().hosts["w00"].tasks)
+		w.shard().mu.Unlock()
 		if n != 0 {
 			t.Errorf("%d runs on a draining worker", n)
 		}
@@ -156,29 +159,29 @@
 func TestFailingWorkerIsSetAside(t *testing.T) {
 	inWorld(t, 3, func(w *world) {
 		w.settle()
-		var failed int
-		w.workers.Fault = func(kind, worker string) fleetfake.Fault {
+		var failed atomic.Int64
+		w.workers.SetFault(func(kind, worker string) fleetfake.Fault {
 			if kind == "start" && worker == "w00" {
-				failed++
+				failed.Add(1)
 				return fleetfake.Refused
 			}
 			return fleetfake.None
-		}
+		})
 		for i := range 20 {
 			w.submit(steps(fmt.Sprint("a", i), "short", 2))
 		}
 		for i := range 20 {
 			w.await(fmt.Sprint("a", i), workload.Completed, 10*time.Second)
 		}
-		if failed > 60 {
-			t.Errorf("%d starts sent to a worker that refuses them", failed)
+		if n := failed.Load(); n > 60 {
+			t.Errorf("%d starts sent to a worker that refuses them", n)
 		}
 	})
 }
 
 func TestNoWorkerIsCommittedBeyondItsCapacity(t *testing.T) {
 	inWorld(t, 2, func(w *world) {
-		w.workers.Duration = func(string) time.Duration { return time.Second }
+		w.workers.SetDuration(func(string) time.Duration { return time.Second })
 		w.settle()
 		for i := range 10 {
 			spec := steps(fmt.Sprint("a", i), "batch", 3)
@@ -187,13 +190,13 @@
 		}
 		for range 40 {
 			time.Sleep(100 * time.Millisecond)
-			w.owner.mu.Lock()
-			for _, h := range w.owner.hosts {
+			w.shard().mu.Lock()
+			for _, h := range w.shard().hosts {
 				if !h.free().Valid() {
 					t.Errorf("worker %s is committed beyond its capacity", h.ID)
 				}
 			}
-			w.owner.mu.Unlock()
+			w.shard().mu.Unlock()
 		}
 	})
 }
@@ -206,13 +209,13 @@
 		storeFault(fleetfake.Refused)(w)
 		ctx, cancel := context.WithTimeout(w.ctx, 2*time.Second)
 		defer cancel()
-		err := w.owner.Submit(ctx, steps("a", "short", 1))
+		err := w.shard().Submit(ctx, steps("a", "short", 1))
 		if result.Of(err) != result.JobNotStored {
 			t.Fatalf("got %v, want the code JobNotStored", err)
 		}
 		noStoreFault(w)
 		time.Sleep(5 * time.Second)
-		if w.workers.Starts != 0 {
+		if w.workers.Starts() != 0 {
 			t.Error("a refused job was started")
 		}
 	})
@@ -230,7 +233,7 @@
 			go func() {
 				ctx, cancel := context.WithTimeout(w.ctx, 700*time.Millisecond)
 				defer cancel()
-				answers <- w.owner.Submit(ctx, steps(fmt.Sprint("a", i), "short", 1))
+				answers <- w.shard().Submit(ctx, steps(fmt.Sprint("a", i), "short", 1))
 			}()
 		}
 		refused := 0
@@ -244,8 +247,8 @@
 		}
 		noStoreFault(w)
 		time.Sleep(5 * time.Second)
-		if w.workers.Starts > 20-refused {
-			t.Errorf("%d starts, %d jobs were not refused", w.workers.Starts, 20-refused)
+		if w.workers.Starts() > 20-refused {
+			t.Errorf("%d starts, %d jobs were not refused", w.workers.Starts(), 20-refused)
 		}
 	})
 }
@@ -254,7 +257,7 @@
 // on, since the worker's list shows it.
 func TestUnansweredStartIsKept(t *testing.T) {
 	inWorld(t, 2, func(w *world) {
-		w.workers.Duration = func(string) time.Duration { return 3 * time.Second }
+		w.workers.SetDuration(func(string) time.Duration { return 3 * time.Second })
 		w.settle()
 		w.workers.SetFault(func(kind, _ string) fleetfake.Fault {
 			if kind == "start" {
@@ -264,8 +267,8 @@
 		})
 		w.submit(steps("a", "batch", 4))
 		w.await("a", workload.Completed, 10*time.Second)
-		if w.workers.Starts != 4 {
-			t.Errorf("%d starts, want 4", w.workers.Starts)
+		if w.workers.Starts() != 4 {
+			t.Errorf("%d starts, want 4", w.workers.Starts())
 		}
 	})
 }
--- a/internal/fleetfake/store.go
+++ b/internal/fleetfake/store.go
@@ -42,10 +42,7 @@
 	version int64
 	started time.Time
 	changed chan struct{}
-	// Fault chooses the fault of a commit, and of a read where tx is nil.
-	Fault func(tx *fleet.Tx) Fault
-	// Commits counts the transactions that were applied.
-	Commits int
+	choose  func(tx *fleet.Tx) Fault
 }
 
 // NewStore returns an empty store.
@@ -55,7 +52,7 @@
 
 func (s *Store) fault(tx *fleet.Tx) Fault {
 	s.mu.Lock()
-	f := s.Fault
+	f := s.choose
 	s.mu.Unlock()
 	if f == nil {
 		return None
@@ -63,11 +60,11 @@
 	return f(tx)
 }
 
-// SetFault replaces Fault.
+// SetFault sets what chooses the fault of a commit, and of a read where tx is nil.
 func (s *Store) SetFault(f func(tx *fleet.Tx) Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.Fault = f
+	s.choose = f
 }
 
 // refused is the error of a call that had no effect.
@@ -136,7 +133,6 @@
 		return out
 	}
 	s.version++
-	s.Commits++
 	for _, r := range tx.Put {
 		r.Part, r.Version = tx.Part, s.version
 		s.rows[rowKey{r.Table, r.Part, r.Key}] = r
--- a/internal/fleetfake/workers.go
+++ b/internal/fleetfake/workers.go
@@ -55,30 +55,23 @@
 // Workers simulates all workers. It implements fleet.Workers and fleet.Registry
 // and records what must never happen.
 type Workers struct {
-	mu       sync.Mutex
-	store    *Store
-	machines map[string]*Machine
-	// Duration is how long a task works.
-	Duration func(task string) time.Duration
-	// Fails reports whether a run fails at its end.
-	Fails func(task string, run int) bool
-	// Fault chooses the fault of an order: "start", "stop", "pace" or "hold".
-	Fault func(kind, worker string) Fault
-	// LateCrossesLives lets late starts and stops reach a machine's next life. That
-	// the platform does so is an open question (docs/QUESTIONS.md).
-	LateCrossesLives bool
-	// Wrong lists broken promises: doubled runs, overfull machines.
-	Wrong []string
-	done  map[string]int64 // tasks whose success was acknowledged
-	// Starts counts accepted starts, Holds the holds.
-	Starts, Holds int
+	mu            sync.Mutex
+	store         *Store
+	machines      map[string]*Machine
+	duration      func(task string) time.Duration
+	fails         func(task string, run int) bool
+	fault         func(kind, worker string) Fault
+	crossing      bool
+	wrong         []string         // broken promises
+	done          map[string]int64 // tasks whose success was acknowledged
+	starts, holds int
 }
 
 // NewWorkers returns workers that register in store.
 func NewWorkers(store *Store) *Workers {
 	return &Workers{
 		store: store, machines: map[string]*Machine{}, done: map[string]int64{},
-		Duration: func(string) time.Duration { return 300 * time.Millisecond },
+		duration: func(string) time.Duration { return 300 * time.Millisecond },
 	}
 }
 
@@ -185,7 +178,7 @@
 	for _, m := range w.machines {
 		m.settle()
 	}
-	return append([]string(nil), w.Wrong...)
+	return append([]string(nil), w.wrong...)
 }
 
 // Running counts the live runs of a job.
@@ -222,9 +215,9 @@
 			m.end(r, fleet.EndStopped)
 			continue
 		}
-		if r.stopped.IsZero() && time.Since(r.began) >= time.Duration(float64(m.fleet.Duration(r.name))*m.slow) {
+		if r.stopped.IsZero() && time.Since(r.began) >= time.Duration(float64(m.fleet.duration(r.name))*m.slow) {
 			kind := fleet.EndDone
-			if m.fleet.Fails != nil && m.fleet.Fails(r.name, r.number) {
+			if m.fleet.fails != nil && m.fleet.fails(r.name, r.number) {
 				kind = fleet.EndFailed
 			}
 			m.end(r, kind)
@@ -244,8 +237,8 @@
 	time.Sleep(2 * time.Millisecond)
 	fault := None
 	w.mu.Lock()
-	if w.Fault != nil {
-		fault = w.Fault(kind, to.ID)
+	if w.fault != nil {
+		fault = w.fault(kind, to.ID)
 	}
 	m := w.machines[to.ID]
 	lost := m == nil || m.dead || m.cut
@@ -276,9 +269,9 @@
 		w.mu.Unlock()
 		time.AfterFunc(LateBy, func() {
 			w.mu.Lock()
-			same := m.life == life
+			reaches := m.life == life || w.crossing && kind != "hold"
 			w.mu.Unlock()
-			if same || w.LateCrossesLives && kind != "hold" {
+			if reaches {
 				do()
 			}
 		})
@@ -327,14 +320,14 @@
 
 // noteStart checks a start against what runs elsewhere.
 func (w *Workers) noteStart(to *Machine, s fleet.Start) {
-	w.Starts++
+	w.starts++
 	if at, ok := w.done[s.Task]; ok {
-		w.Wrong = append(w.Wrong, fmt.Sprintf("%s run %d started after its success was acknowledged at %d", s.Task, s.Run, at))
+		w.wrong = append(w.wrong, fmt.Sprintf("%s run %d started after its success was acknowledged at %d", s.Task, s.Run, at))
 	}
 	for _, m := range w.machines {
 		m.settle()
 		if r := m.runs[s.Task]; r != nil && !m.dead {
-			w.Wrong = append(w.Wrong, fmt.Sprintf("%s run %d on %s while run %d is on %s", s.Task, s.Run, to.id, r.number, m.id))
+			w.wrong = append(w.wrong, fmt.Sprintf("%s run %d on %s while run %d is on %s", s.Task, s.Run, to.id, r.number, m.id))
 		}
 	}
 }
@@ -367,7 +360,7 @@
 func (w *Workers) Hold(ctx context.Context, h fleet.Hold) (fleet.HoldReport, error) {
 	var out fleet.HoldReport
 	w.mu.Lock()
-	w.Holds++
+	w.holds++
 	w.mu.Unlock()
 	deadline := time.Now().Add(time.Duration(h.WaitMillis) * time.Millisecond)
 	for {
@@ -408,17 +401,47 @@
 	m.ends = kept
 	out.Ended = append(out.Ended, kept...)
 	for _, r := range m.runs {
-		share := float64(time.Since(r.began)) / float64(m.fleet.Duration(r.name))
+		share := float64(time.Since(r.began)) / float64(m.fleet.duration(r.name))
 		out.Running = append(out.Running, fleet.RunReport{Task: r.name, Run: r.number, Percent: min(99, int(100*share)), Checkpoint: r.checkpoint})
 	}
 	return out
 }
 
-// SetFault replaces Fault.
+// SetFault sets what chooses the fault of an order: "start", "stop", "pace" or
+// "hold".
 func (w *Workers) SetFault(f func(kind, worker string) Fault) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.Fault = f
+	w.fault = f
+}
+
+// SetFails sets what decides whether a run fails at its end.
+func (w *Workers) SetFails(f func(task string, run int) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fails = f
+}
+
+// LateCrossesLives lets late starts and stops reach a machine's next life. That the
+// platform does so is an open question (docs/QUESTIONS.md).
+func (w *Workers) LateCrossesLives() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crossing = true
+}
+
+// Starts counts the accepted starts.
+func (w *Workers) Starts() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.starts
+}
+
+// Holds counts the holds.
+func (w *Workers) Holds() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.holds
 }
 
 // Leaving reports whether a machine drains or is dead.
@@ -428,11 +451,11 @@
 	return w.machines[id].draining || w.machines[id].dead
 }
 
-// SetDuration replaces Duration.
+// SetDuration sets how long a task works.
 func (w *Workers) SetDuration(f func(task string) time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.Duration = f
+	w.duration = f
 }
 
 // RunningOn counts the live runs on a machine.
