Interference: the growth of a weight keeps its bound

Ruled out: the test's bound, which is the stated one. Change: the powers are constants. Test: TestPriorKeepsItsBound, red before.

--- a/internal/interference/model.go
+++ b/internal/interference/model.go
@@ -158,6 +158,10 @@
 	return prior(&s.bands, band, family)
 }
 
+// growth is bandFactor to the power of the index, as constants: the rounding of
+// math.Pow can lift a weight above its bound.
+var growth = [Bands]float64{1, bandFactor, bandFactor * bandFactor, bandFactor * bandFactor * bandFactor}
+
 // prior is the weight of a family that was not yet seen in the band.
 func prior(bands *[Bands]*Curve, band int, family string) Weight {
 	p := Weight{Mean: priorMean, Variance: priorVariance}
@@ -166,7 +170,7 @@
 			continue
 		}
 		if w, ok := bands[b].Weights[family]; ok {
-			p.Mean = math.Max(0, w.Mean) * math.Pow(bandFactor, float64(band-b))
+			p.Mean = math.Max(0, w.Mean) * growth[band-b]
 			p.Variance = math.Min(priorVariance, w.Variance+priorVariance/4)
 			return p
 		}
--- a/internal/interference/model_test.go
+++ b/internal/interference/model_test.go
@@ -101,6 +101,18 @@
 	})
 }
 
+// TestPriorKeepsItsBound: a family at the largest weight of the lowest band stays
+// under the bound in every other band.
+func TestPriorKeepsItsBound(t *testing.T) {
+	bands := [Bands]*Curve{{Weights: map[string]Weight{"f": {Mean: maxWeight, Variance: 1}}}}
+	bounds := [Bands]float64{0, maxWeight * bandFactor, maxWeight * bandFactor * bandFactor, maxWeight * bandFactor * bandFactor * bandFactor}
+	for b := 1; b < Bands; b++ {
+		if w := prior(&bands, b, "f"); w.Mean > bounds[b] {
+			t.Errorf("band %d: %v, at most %v", b, w.Mean, bounds[b])
+		}
+	}
+}
+
 // TestFrozenIsNotChanged checks that later reports leave a frozen model alone.
 func TestFrozenIsNotChanged(t *testing.T) {
 	m := NewModel()
