--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -42,7 +42,7 @@
 			pause.For(ctx, holdRetry)
 			continue
 		}
-		s.heard(h, order, sent, report)
+		s.heard(h, sent, report)
 		if report.Refused != fleet.StartAccepted {
 			pause.For(ctx, holdRetry)
 			continue
@@ -102,7 +102,7 @@
 }
 
 // heard takes in the answer to a hold that was sent at sent.
-func (s *Shard) heard(h *host, order fleet.Hold, sent time.Duration, report fleet.HoldReport) {
+func (s *Shard) heard(h *host, sent time.Duration, report fleet.HoldReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -45,17 +46,10 @@
 		}
 		out = append(out, sl)
 	}
-	slices.SortFunc(out, func(a, b *slot) int { return compareID(a.host, b.host) })
+	slices.SortFunc(out, func(a, b *slot) int { return cmp.Compare(a.host.ID, b.host.ID) })
 	return out
 }
 
-func compareID(a, b *host) int {
-	if a.ID < b.ID {
-		return -1
-	}
-	return 1
-}
-
 // filter reports whether a host may ever run a task of the step.
 type filter func(t *task, q *fleet.Queue, sl *slot) bool
 
