Requests about moved jobs reach their shard

Cause: a job moves from its home shard to another one before its first run. Beside it: the home forgot a moved job two minutes after the move, whether the job had ended or not; the stored state of a moved job was the home's; and a job that went from the inbox to the accepted rows between two reads was reported as unknown, because the accepted rows were read first.

Ruled out: late orders (the starts came from the job's owner, ten seconds after the acknowledgement); a takeover that lost the row (the row was taken in).

Change: the home passes a cancellation on and keeps the inbox row until the other shard has stored it; answers from rows follow the move; the home asks the other shard before it forgets a moved job; the inbox is read before the accepted rows.

--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -32,6 +32,7 @@
 	stop    context.CancelFunc
 	ended   chan error
 	adviser fleet.Adviser
+	others  Others
 }
 
 // inWorld runs f in a world of n workers of 8 cores, two to a rack.
@@ -117,6 +118,7 @@
 		Steady:  func() time.Duration { return time.Since(w.began) + time.Hour },
 		Unix:    func(c fleet.Clock) time.Time { return time.UnixMilli(int64(c)) },
 		Metrics: NewMetrics(tally.NoopScope),
+		Others:  w.others,
 	})
 	go func() { ended <- s.Run(ctx) }()
 	w.owner.Store(s)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -32,6 +32,9 @@
 	kept       bool            // the job lies in the inbox: it is accepted and must not be forgotten
 	arrived    bool            // it came from another shard and stays here
 	delivering bool            // it is on its way to another shard
+	cancelKey  string          // inbox row of a cancellation to pass on after the job
+	passing    bool            // the cancellation is being passed on
+	asking     bool            // the other shard is asked whether it knows the job
 	dirty      bool            // the progress differs from the stored row
 	begun      bool            // a run has been seen at some time
 	waiters    []chan<- error  // callers that wait for the next commit
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -217,7 +217,13 @@
 		if r.Part != s.cfg.Name || r.Deleted || !strings.HasPrefix(r.Key, InboxCancel) {
 			continue
 		}
-		if j := s.jobs[inboxJob(r.Key)]; j != nil && j.rec.Moved == nil {
+		j := s.jobs[inboxJob(r.Key)]
+		if j != nil && j.rec.Moved != nil {
+			j.cancelKey = r.Key
+			s.passCancel(j)
+			continue
+		}
+		if j != nil {
 			s.cancelJob(j)
 		}
 		s.inboxGone[r.Key] = true
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -9,6 +9,18 @@
 	"skylarkport/internal/workload"
 )
 
+// Others are the other shards of the installation.
+type Others interface {
+	// Better names a shard that can run a waiting job sooner, or none.
+	Better(j *workload.Spec) (shard string, ok bool)
+	// Deliver returns nil once the shard has stored the job.
+	Deliver(ctx context.Context, shard string, a workload.Accepted) error
+	// Cancel returns nil once the cancellation is durable, or the job is over.
+	Cancel(ctx context.Context, shard, id string) error
+	// Knows reports whether the shard still has the job.
+	Knows(ctx context.Context, shard, id string) (bool, error)
+}
+
 const (
 	// moveAfter is how long a job waits for its first run before another shard is
 	// asked; runs of a second end all the time.
@@ -16,6 +28,8 @@
 	// movesAtOnce bounds the jobs under way to other shards: their loads are
 	// known only from the last ping.
 	movesAtOnce = 4
+	// asksAtOnce bounds the questions about moved jobs under way.
+	asksAtOnce = 8
 	// deliverRetry is the pause between tries to deliver a job.
 	deliverRetry = 200 * time.Millisecond
 	// deliverTimeout bounds one try.
@@ -26,13 +40,13 @@
 // and reports whether any does. A job moves once: the commit that names its new
 // shard ends this shard's right to run it, and it is delivered afterwards.
 func (s *Shard) moveWaiting(now time.Duration) bool {
-	if s.cfg.Handover == nil {
+	if s.cfg.Others == nil {
 		return false
 	}
 	moved := false
 	for _, j := range s.movable(now) {
 		// Shards are compared without the lock: that asks them for their loads.
-		if shard, ok := s.cfg.Handover(&j.spec); ok {
+		if shard, ok := s.cfg.Others.Better(&j.spec); ok {
 			moved = s.move(j, shard, now) || moved
 		}
 	}
@@ -78,7 +92,7 @@
 
 // deliverMoved delivers the jobs whose move is durable. The caller holds the lock.
 func (s *Shard) deliverMoved(ctx context.Context, j *job) {
-	if j.rec.Moved == nil || j.rec.Moved.Confirmed || j.delivering || s.cfg.Deliver == nil {
+	if j.rec.Moved == nil || j.rec.Moved.Confirmed || j.delivering || s.cfg.Others == nil {
 		return
 	}
 	j.delivering = true
@@ -88,7 +102,7 @@
 	s.hostWG.Go(func() {
 		for ctx.Err() == nil {
 			tctx, cancel := context.WithTimeout(ctx, deliverTimeout)
-			err := s.cfg.Deliver(tctx, shard, accepted)
+			err := s.cfg.Others.Deliver(tctx, shard, accepted)
 			cancel()
 			if err == nil {
 				s.delivered(j)
@@ -107,9 +121,73 @@
 	j.rec.Moved.Confirmed = true
 	j.rec.Tasks, j.rec.EndMillis, j.dirty = nil, int64(s.storeNow()), true
 	s.moving = max(0, s.moving-1)
+	s.passCancel(j)
+	s.kick()
+}
+
+// passCancel hands the cancellation of a moved job on to the job's shard. The inbox
+// row stays until that shard has stored the cancellation, so that a successor passes
+// it on anew. The caller holds the lock.
+func (s *Shard) passCancel(j *job) {
+	if j.cancelKey == "" || j.passing || j.movedTo() == nil || s.cfg.Others == nil {
+		return
+	}
+	j.passing = true
+	id, shard := j.spec.ID, j.rec.Moved.Shard
+	s.hostWG.Go(func() {
+		for s.hostCtx.Err() == nil {
+			ctx, cancel := context.WithTimeout(s.hostCtx, deliverTimeout)
+			err := s.cfg.Others.Cancel(ctx, shard, id)
+			cancel()
+			if err == nil {
+				s.passedCancel(j)
+				return
+			}
+			logger.WithField("job", id).WithField("to", shard).WithError(err).Info("cancellation was not passed on")
+			pause.For(s.hostCtx, deliverRetry)
+		}
+	})
+}
+
+// passedCancel lets the inbox row go.
+func (s *Shard) passedCancel(j *job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	logger.WithField("job", j.spec.ID).WithField("to", j.rec.Moved.Shard).Info("cancellation passed on")
+	s.inboxGone[j.cancelKey] = true
+	j.cancelKey, j.passing = "", false
 	s.kick()
 }
 
+// keepMoved decides whether the record of a moved job may go: callers who know only
+// its home are led by it, so it stays as long as the other shard knows the job.
+// The caller holds the lock.
+func (s *Shard) keepMoved(j *job) {
+	if j.asking || j.cancelKey != "" || s.cfg.Others == nil || s.asking >= asksAtOnce {
+		return
+	}
+	j.asking = true
+	s.asking++
+	id, shard := j.spec.ID, j.rec.Moved.Shard
+	s.hostWG.Go(func() {
+		ctx, cancel := context.WithTimeout(s.hostCtx, deliverTimeout)
+		defer cancel()
+		known, err := s.cfg.Others.Knows(ctx, shard, id)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		j.asking = false
+		s.asking--
+		if err != nil {
+			logger.WithField("job", id).WithField("shard", shard).WithError(err).Debug("moved job was not asked after")
+		}
+		if err != nil || known || j.cancelKey != "" {
+			j.rec.EndMillis = int64(s.storeNow()) // asked again later
+			return
+		}
+		s.drop(j)
+	})
+}
+
 // Load is how much of the shard's capacity is asked for, and what it has.
 type Load struct {
 	Capacity int64    `json:"cap"`  // thousandths of a core of usable workers
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -192,10 +192,21 @@
 // forgetEnded drops jobs that ended long ago, a few at a time.
 func (s *Shard) forgetEnded() {
 	limit := s.storeNow().Add(-s.cfg.Bounds.KeepEnded)
-	for id, j := range s.jobs {
-		if (j.rec.State.Final() || j.movedTo() != nil) && j.stored && !j.dirty && j.placed() == 0 && int64(limit) > j.rec.EndMillis {
-			delete(s.jobs, id)
-			s.dropped[id] = true
+	for _, j := range s.jobs {
+		if !j.stored || j.dirty || j.placed() > 0 || int64(limit) <= j.rec.EndMillis {
+			continue
+		}
+		switch {
+		case j.movedTo() != nil:
+			s.keepMoved(j)
+		case j.rec.State.Final():
+			s.drop(j)
 		}
 	}
 }
+
+// drop forgets j and has its rows deleted.
+func (s *Shard) drop(j *job) {
+	delete(s.jobs, j.spec.ID)
+	s.dropped[j.spec.ID] = true
+}
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -61,11 +61,7 @@
 	Steady   func() time.Duration                 // clock that counts suspensions
 	Unix     func(storeNow fleet.Clock) time.Time // time of day agreed among instances
 	Metrics  *Metrics
-	// Handover names a shard that can run a waiting job sooner, or none. It is nil
-	// where there is one shard.
-	Handover func(j *workload.Spec) (shard string, ok bool)
-	// Deliver returns nil once the other shard has stored the job.
-	Deliver func(ctx context.Context, shard string, a workload.Accepted) error
+	Others   Others // nil where there is one shard
 }
 
 // Shard is the owner's state of one shard.
@@ -79,6 +75,7 @@
 	dropped   map[string]bool // jobs whose rows are to be deleted
 	paused    bool            // no new runs: the shard is handed over
 	moving    int             // jobs on their way to another shard
+	asking    int             // moved jobs that other shards are asked about
 	planAgain time.Duration   // when something that waits may be due, 0 for none
 
 	beat       beatRow
--- a/internal/node/balance.go
+++ b/internal/node/balance.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"skylarkport/internal/dispatch"
+	"skylarkport/internal/result"
 	"skylarkport/internal/workload"
 )
 
@@ -17,13 +18,45 @@
 	loadFor = 2 * time.Second
 )
 
-// handoverOf returns the choice among shards for the waiting jobs of one, or nil
-// where there is no other.
-func (o *owners) handoverOf(shard string, l *Layout) func(*workload.Spec) (string, bool) {
+// others are the other shards as the owner of one sees them. It implements
+// dispatch.Others.
+type others struct {
+	node *Node
+	own  string
+}
+
+// othersOf returns the other shards of one, or nil where there is none.
+func (o *owners) othersOf(shard string, l *Layout) dispatch.Others {
 	if len(l.Shards()) < 2 {
 		return nil
 	}
-	return func(j *workload.Spec) (string, bool) { return o.betterShard(shard, j) }
+	return &others{node: o.node, own: shard}
+}
+
+// Better implements dispatch.Others.
+func (t *others) Better(j *workload.Spec) (string, bool) { return t.node.owners.betterShard(t.own, j) }
+
+// Deliver implements dispatch.Others.
+func (t *others) Deliver(ctx context.Context, shard string, a workload.Accepted) error {
+	return t.node.submitOnce(ctx, shard, a)
+}
+
+// Cancel implements dispatch.Others.
+func (t *others) Cancel(ctx context.Context, shard, id string) error {
+	err := t.node.follow(ctx, shard, id, methodCancel).err()
+	if result.Of(err) == result.JobUnknown {
+		return nil // it has ended and is forgotten
+	}
+	return err
+}
+
+// Knows implements dispatch.Others.
+func (t *others) Knows(ctx context.Context, shard, id string) (bool, error) {
+	err := t.node.follow(ctx, shard, id, methodState).err()
+	if result.Of(err) == result.JobUnknown {
+		return false, nil
+	}
+	return err == nil, err
 }
 
 // betterShard names the shard that holds the data of a waiting job, or else the one
@@ -83,8 +116,3 @@
 	}
 	return out
 }
-
-// deliver hands a moved job to its new shard.
-func (n *Node) deliver(ctx context.Context, shard string, a workload.Accepted) error {
-	return n.submitOnce(ctx, shard, a)
-}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -183,21 +183,8 @@
 	}
 	var reply JobReply
 	err := n.try(ctx, func(ctx context.Context) (bool, error) {
-		shard := l.Home(id)
-		for range maxHops {
-			reply = n.askAbout(ctx, shard, id, method)
-			if reply.Moved == nil {
-				break
-			}
-			shard = reply.Moved.Shard
-		}
-		switch reply.Code {
-		case result.OK:
-			return true, nil
-		case result.JobUnknown, result.NotOwner, result.PeerAway:
-			return n.aboutStored(ctx, shard, id, method, &reply)
-		}
-		return false, reply.err()
+		reply = n.follow(ctx, l.Home(id), id, method)
+		return reply.Code == result.OK || reply.Code == result.JobUnknown, reply.err()
 	})
 	switch result.Of(err) {
 	case result.OK, result.JobUnknown, result.OutcomeUnknown:
@@ -210,6 +197,25 @@
 	return reply, err
 }
 
+// follow asks a shard about a job, and the shards to which it was moved.
+func (n *Node) follow(ctx context.Context, shard, id, method string) JobReply {
+	var reply JobReply
+	for range maxHops {
+		reply = n.askAbout(ctx, shard, id, method)
+		switch reply.Code {
+		case result.JobUnknown, result.NotOwner, result.PeerAway:
+			reply = n.aboutStored(ctx, shard, id, method)
+		}
+		if reply.Moved == nil {
+			return reply
+		}
+		shard = reply.Moved.Shard
+	}
+	return replyOf(result.Errorf(result.NotReady, "job %s moved too often", id))
+}
+
+func replyOf(err error) JobReply { return JobReply{Outcome: outcomeOf(err)} }
+
 func (n *Node) askAbout(ctx context.Context, shard, id, method string) JobReply {
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
@@ -254,47 +260,56 @@
 }
 
 // aboutStored answers from the shard's rows. Only they prove that a job does
-// not exist: an owner may have been replaced without knowing it yet.
-func (n *Node) aboutStored(ctx context.Context, shard, id, method string, reply *JobReply) (bool, error) {
-	accepted, err := n.owners.readRow(ctx, dispatch.TableAccepted, shard, id)
+// not exist: an owner may have been replaced without knowing it yet. The inbox is
+// read first, as jobs go from there to the accepted ones.
+func (n *Node) aboutStored(ctx context.Context, shard, id, method string) JobReply {
+	inbox, err := n.owners.readRow(ctx, dispatch.TableInbox, shard, dispatch.InboxSubmit+id)
 	if err != nil {
-		return false, result.Wrap(result.NotReady, err, "store")
+		return replyOf(result.Wrap(result.NotReady, err, "store"))
 	}
-	inbox, err := n.owners.readRow(ctx, dispatch.TableInbox, shard, dispatch.InboxSubmit+id)
+	accepted, err := n.owners.readRow(ctx, dispatch.TableAccepted, shard, id)
 	if err != nil {
-		return false, result.Wrap(result.NotReady, err, "store")
+		return replyOf(result.Wrap(result.NotReady, err, "store"))
 	}
-	if accepted.Version == 0 && inbox.Version == 0 {
-		return true, result.Errorf(result.JobUnknown, "no job %s", id)
+	if inbox.Version == 0 && accepted.Version == 0 {
+		return replyOf(result.Errorf(result.JobUnknown, "no job %s", id))
 	}
-	if method == methodCancel {
-		return n.cancelInbox(ctx, shard, id)
+	rec := workload.Record{State: workload.Queued}
+	if accepted.Version > 0 {
+		if rec, err = n.readProgress(ctx, shard, id); err != nil {
+			return replyOf(result.Wrap(result.NotReady, err, "store"))
+		}
 	}
-	reply.State = workload.Queued
-	if accepted.Version == 0 {
-		return true, nil
+	reply := replyOf(nil)
+	switch {
+	case rec.Moved != nil && rec.Moved.Confirmed:
+		reply.Moved = rec.Moved
+	case method == methodCancel:
+		reply = replyOf(n.cancelInbox(ctx, shard, id))
+	default:
+		reply.State = rec.State
 	}
+	return reply
+}
+
+func (n *Node) readProgress(ctx context.Context, shard, id string) (workload.Record, error) {
+	var rec workload.Record
 	row, err := n.owners.readRow(ctx, dispatch.TableProgress, shard, id)
 	if err != nil {
-		return false, result.Wrap(result.NotReady, err, "store")
-	}
-	var rec workload.Record
-	if err := workload.Decode(row.Value, &rec); err != nil {
-		return false, err
+		return rec, err
 	}
-	reply.State = rec.State
-	return true, nil
+	return rec, workload.Decode(row.Value, &rec)
 }
 
-// cancelInbox stores a cancellation for the owner to come.
-func (n *Node) cancelInbox(ctx context.Context, shard, id string) (bool, error) {
+// cancelInbox stores a cancellation for the owner to come. The owner passes it on
+// where the job has moved.
+func (n *Node) cancelInbox(ctx context.Context, shard, id string) error {
 	key := dispatch.InboxCancel + id
-	err := n.writeInbox(ctx, fleet.Tx{
+	return n.writeInbox(ctx, fleet.Tx{
 		Part:   shard,
 		Expect: []fleet.Row{{Table: dispatch.TableInbox, Key: key}},
 		Put:    []fleet.Row{{Table: dispatch.TableInbox, Key: key, Value: []byte("{}")}},
 	})
-	return err == nil, err
 }
 
 // pendingCounts caches what owners said, per shard.
--- /dev/null
+++ b/internal/node/stored_test.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"skylarkport/internal/contract/fleet"
+	"skylarkport/internal/dispatch"
+	"skylarkport/internal/fleetfake"
+	"skylarkport/internal/obs"
+	"skylarkport/internal/result"
+	"skylarkport/internal/settings"
+	"skylarkport/internal/workload"
+)
+
+// lone is an instance that knows no owner and answers from the store's rows.
+func lone(t *testing.T, store fleet.Store) *Node {
+	t.Helper()
+	workers := fleetfake.NewWorkers(nil)
+	n := New(t.Context(), &settings.Node{Instance: "n0", Zone: "z0"},
+		Deps{Store: store, Workers: workers, Registry: workers, Configs: fakeConfigs{}}, obs.NewMetrics("test_lone"))
+	l := &Layout{Zones: []string{"z0", "z1"}, PerZone: 1}
+	n.owners.prepare(l)
+	n.layout.Store(l)
+	return n
+}
+
+func put(t *testing.T, store *fleetfake.Store, part, table, key string, v any) {
+	t.Helper()
+	_, err := store.Commit(t.Context(), fleet.Tx{Part: part, Put: []fleet.Row{{Table: table, Key: key, Value: workload.Encode(v)}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestRequestsFollowMovedJobs: what callers ask about a moved job reaches its shard
+// also while the owners of both shards are away.
+func TestRequestsFollowMovedJobs(t *testing.T) {
+	const id = "00000000000000aa"
+	store := fleetfake.NewStore()
+	n := lone(t, store)
+	home := n.layout.Load().Home(id)
+	other := "z0-0"
+	if home == other {
+		other = "z1-0"
+	}
+	accepted := workload.Accepted{Spec: workload.Spec{ID: id}}
+	put(t, store, home, dispatch.TableAccepted, id, accepted)
+	put(t, store, home, dispatch.TableProgress, id, workload.Record{State: workload.Queued, Moved: &workload.Moved{Shard: other, Confirmed: true}})
+	put(t, store, other, dispatch.TableAccepted, id, accepted)
+	put(t, store, other, dispatch.TableProgress, id, workload.Record{State: workload.Running})
+	if s, err := n.State(t.Context(), id); s != workload.Running || err != nil {
+		t.Errorf("state %s, %v", s, err)
+	}
+	if err := n.Cancel(t.Context(), id); err != nil {
+		t.Fatal(err)
+	}
+	for shard, want := range map[string]int{home: 0, other: 1} {
+		p, err := store.Range(t.Context(), dispatch.TableInbox, shard, "", "")
+		if err != nil || len(p.Rows) != want {
+			t.Errorf("%d rows in the inbox of %s, want %d, %v", len(p.Rows), shard, want, err)
+		}
+	}
+}
+
+// takenIn is a store whose first read is followed by the commit that takes a job
+// from the inbox.
+type takenIn struct {
+	*fleetfake.Store
+	once sync.Once
+	take func()
+}
+
+func (s *takenIn) Range(ctx context.Context, table, part, from, to string) (fleet.Page, error) {
+	defer s.once.Do(s.take)
+	return s.Store.Range(ctx, table, part, from, to)
+}
+
+// TestJobThatLeavesTheInboxIsKnown: a job that is taken in between two reads is not
+// reported as unknown.
+func TestJobThatLeavesTheInboxIsKnown(t *testing.T) {
+	const id = "00000000000000aa"
+	store := &takenIn{Store: fleetfake.NewStore()}
+	n := lone(t, store)
+	home := n.layout.Load().Home(id)
+	accepted := workload.Accepted{Spec: workload.Spec{ID: id}}
+	key := dispatch.InboxSubmit + id
+	put(t, store.Store, home, dispatch.TableInbox, key, accepted)
+	store.take = func() {
+		_, err := store.Commit(t.Context(), fleet.Tx{
+			Part: home,
+			Put: []fleet.Row{
+				{Table: dispatch.TableAccepted, Key: id, Value: workload.Encode(accepted)},
+				{Table: dispatch.TableProgress, Key: id, Value: workload.Encode(workload.Record{State: workload.Running})},
+			},
+			Delete: []fleet.Row{{Table: dispatch.TableInbox, Key: key}},
+		})
+		if err != nil {
+			t.Error(err)
+		}
+	}
+	if s, err := n.State(t.Context(), id); err != nil {
+		t.Errorf("state %s, %v (%s)", s, err, result.Of(err))
+	}
+}
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -161,7 +161,7 @@
 		Store: n.deps.Store, Workers: n.deps.Workers, Registry: n.deps.Registry, Adviser: n.deps.Adviser,
 		Config: n.Config, Mine: func(w fleet.Worker) bool { return l.ShardOf(w) == own.name },
 		Steady: bootClock, Unix: n.unix, Metrics: n.dispatchMetrics,
-		Handover: o.handoverOf(own.name, l), Deliver: n.deliver,
+		Others: o.othersOf(own.name, l),
 	})
 	done := make(chan struct{})
 	o.mu.Lock()
