Strong machines own shards; a shard is as large as its owners can follow

Cause: on the grown installations the owners of shards were chosen by a hash over all instances of the zone, most of which have 0.11 to 0.19 core and 10 Mbit/s, while two in each zone have 0.8 core and 200 Mbit/s. Each owner also read the whole registry (350 entries) every 0.7 s.

Change: instances tell what their machine offers, and the ranking puts the strong ones of a zone first, spread evenly over its shards; a shard holds 64 to 128 workers, by what the second-largest instance of every zone can follow; the registry is read once and then followed by its changes; instances register before the layout is decided.

--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -8,47 +8,101 @@
 	"skylarkport/internal/pause"
 )
 
-// registryInterval is how often the workers' entries are read. A draining
-// worker must take no start two seconds after its notice.
-const registryInterval = 700 * time.Millisecond
+const (
+	// registryWait is how long one look at the registry waits for a change. A
+	// connection that went silent is noticed after it; a draining worker must take
+	// no start two seconds after its notice.
+	registryWait = 900 * time.Millisecond
+	// registryPause gathers the changes that come together.
+	registryPause = 100 * time.Millisecond
+)
 
 // watchRegistry follows the workers of the shard.
 func (s *Shard) watchRegistry(ctx context.Context) error {
 	for {
-		rows, _, err := s.readAll(ctx, s.cfg.Registry.Table(), "")
+		rows, version, err := s.readAll(ctx, s.cfg.Registry.Table(), "")
 		if err != nil {
 			return err
 		}
 		s.listHosts(rows)
-		if !pause.For(ctx, registryInterval) {
+		if err := s.followRegistry(ctx, version); err != nil && ctx.Err() == nil {
+			logger.WithField("shard", s.cfg.Name).WithError(err).Debug("registry is read again")
+		}
+		if !pause.For(ctx, registryPause) {
 			return context.Cause(ctx)
 		}
 	}
 }
 
-// listHosts brings the hosts up to what the registry lists.
+// followRegistry takes in changes after version until one look fails.
+func (s *Shard) followRegistry(ctx context.Context, version int64) error {
+	for {
+		c, err := s.cfg.Store.Changes(ctx, s.cfg.Registry.Table(), version, registryWait)
+		if err != nil {
+			return err
+		}
+		version = c.Version
+		if len(c.Rows) == 0 {
+			continue
+		}
+		s.changeHosts(c.Rows)
+		if !pause.For(ctx, registryPause) {
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// listHosts brings the hosts up to all that the registry lists.
 func (s *Shard) listHosts(rows []fleet.Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	listed := map[string]bool{}
 	for _, r := range rows {
-		w, ok := s.cfg.Registry.Worker(r)
-		if !ok || !s.cfg.Mine(w) {
-			continue
+		listed[r.Key] = s.readEntry(r)
+	}
+	for id := range s.hosts {
+		if !listed[id] {
+			s.unlist(id)
 		}
-		listed[w.ID] = true
-		s.listHost(w)
 	}
-	for id, h := range s.hosts {
-		if listed[id] || !h.listed {
-			continue
+	s.kick()
+}
+
+// changeHosts takes in entries that changed.
+func (s *Shard) changeHosts(rows []fleet.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range rows {
+		if !s.readEntry(r) {
+			s.unlist(r.Key)
 		}
-		h.listed = false
-		logger.WithField("shard", s.cfg.Name).WithField("worker", id).WithField("runs", len(h.tasks)).Info("worker left the registry")
 	}
 	s.kick()
 }
 
+// readEntry reports whether r names a worker of the shard, and lists it.
+func (s *Shard) readEntry(r fleet.Row) bool {
+	if r.Deleted {
+		return false
+	}
+	w, ok := s.cfg.Registry.Worker(r)
+	if !ok || !s.cfg.Mine(w) {
+		return false
+	}
+	s.listHost(w)
+	return true
+}
+
+// unlist takes no new runs to a worker that the registry does not name.
+func (s *Shard) unlist(id string) {
+	h := s.hosts[id]
+	if h == nil || !h.listed {
+		return
+	}
+	h.listed = false
+	logger.WithField("shard", s.cfg.Name).WithField("worker", id).WithField("runs", len(h.tasks)).Info("worker left the registry")
+}
+
 func (s *Shard) listHost(w fleet.Worker) {
 	h := s.hosts[w.ID]
 	if h == nil {
--- a/internal/node/layout.go
+++ b/internal/node/layout.go
@@ -18,9 +18,14 @@
 const (
 	tableLayout = "layout"
 	keyLayout   = "layout"
-	// workersPerShard is how many workers one owner follows; docs/CAPACITY.md
-	// has the slopes.
-	workersPerShard = 64
+	// workersPerCore is how many workers an owner follows with a core of its own. By
+	// the slopes of docs/CAPACITY.md it then uses a third of its machine.
+	workersPerCore = 175
+	// minPerShard and maxPerShard bound the workers of a shard. Below the lower one,
+	// jobs would wait in one shard while another has room; above the upper one, a
+	// takeover and a plan take long.
+	minPerShard = 64
+	maxPerShard = 128
 	// maxShards bounds the shards of a zone.
 	maxShards = 16
 	// The first start waits until no worker has registered for registryQuiet, at
@@ -92,24 +97,6 @@
 	return ""
 }
 
-// Rank orders instances for the ownership of a shard: those of its zone first,
-// each zone by rendezvous hashing.
-func (l *Layout) Rank(shard string, instances []Instance) []Instance {
-	zone := l.ZoneOf(shard)
-	out := slices.Clone(instances)
-	weight := func(i Instance) uint64 { return xxhash.Sum64String(shard + "/" + i.Name) }
-	slices.SortFunc(out, func(a, b Instance) int {
-		if (a.Zone == zone) != (b.Zone == zone) {
-			if a.Zone == zone {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a.Name, b.Name))
-	})
-	return out
-}
-
 // readLayout returns the stored layout and writes it where there is none.
 func (n *Node) readLayout(ctx context.Context) (*Layout, error) {
 	started := time.Now()
@@ -152,7 +139,11 @@
 	if err != nil || !decide {
 		return nil, len(workers.Rows), err
 	}
-	l := newLayout(n.settings.Zones, listed(n.deps.Registry, workers.Rows))
+	instances, err := n.readInstances(ctx)
+	if err != nil {
+		return nil, len(workers.Rows), err
+	}
+	l := newLayout(n.settings.Zones, listed(n.deps.Registry, workers.Rows), workersPerShard(instances))
 	logger.WithField("workers", len(workers.Rows)).WithField("shards", len(l.Shards())).Info("layout written")
 	_, err = n.deps.Store.Commit(ctx, fleet.Tx{
 		Expect: []fleet.Row{{Table: tableLayout, Key: keyLayout}},
@@ -172,10 +163,26 @@
 	return out
 }
 
-// newLayout divides the workers into shards of whole racks.
-func newLayout(zones []string, workers []fleet.Worker) *Layout {
+// workersPerShard is how many workers one owner can follow in every zone, also
+// after the zone's largest instance has failed.
+func workersPerShard(instances []Instance) int {
+	byZone := map[string][]float64{}
+	for _, i := range instances {
+		byZone[i.Zone] = append(byZone[i.Zone], i.Cores)
+	}
+	least := float64(maxPerShard) / workersPerCore
+	for _, cores := range byZone {
+		slices.Sort(cores)
+		least = min(least, cores[max(0, len(cores)-2)])
+	}
+	return max(minPerShard, int(least*workersPerCore))
+}
+
+// newLayout divides the workers into shards of whole racks, of about perShard
+// workers at most.
+func newLayout(zones []string, workers []fleet.Worker, perShard int) *Layout {
 	l := &Layout{Zones: slices.Sorted(slices.Values(zones))}
-	if len(workers) <= workersPerShard {
+	if len(workers) <= minPerShard {
 		return l
 	}
 	racks := map[string]map[string]int{} // zone, rack, workers
@@ -189,7 +196,7 @@
 		sizes[w.Zone]++
 		largest = max(largest, sizes[w.Zone])
 	}
-	l.PerZone = min((largest+workersPerShard-1)/workersPerShard, maxShards)
+	l.PerZone = min((largest+perShard-1)/perShard, maxShards)
 	l.Racks = map[string]string{}
 	for zone, sizes := range racks {
 		l.spread(zone, sizes)
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -24,6 +24,9 @@
 	Control string `json:"control"`
 	Life    int64  `json:"life"`             // Unix milliseconds of its start
 	Offset  int64  `json:"offset,omitempty"` // time of day less the store's clock, milliseconds
+	// Cores and LinkMbps are what the instance's machine offers, 0 for unknown.
+	Cores    float64 `json:"cores,omitempty"`
+	LinkMbps float64 `json:"mbps,omitempty"`
 }
 
 // Owned is a shard and its owner.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,7 +87,10 @@
 func New(ctx context.Context, s *settings.Node, deps Deps, m *obs.Metrics) *Node {
 	n := &Node{
 		settings: s, deps: deps, ctx: ctx,
-		self:            Instance{Name: s.Instance, Zone: s.Zone, Control: s.Control, Life: time.Now().UnixMilli()},
+		self: Instance{
+			Name: s.Instance, Zone: s.Zone, Control: s.Control, Life: time.Now().UnixMilli(),
+			Cores: s.Machine.Cores(), LinkMbps: s.Machine.LinkMbps,
+		},
 		metrics:         newMetrics(m.Scope()),
 		dispatchMetrics: dispatch.NewMetrics(m.Scope().SubScope("shard")),
 		pendingCache:    pendingCounts{byShard: map[string]pendingCount{}},
@@ -268,13 +271,13 @@
 // after the shards.
 func (n *Node) join(ctx context.Context) error {
 	n.peers.seed(ctx)
+	go n.followMembers(ctx) // the ownership of shards depends on who is there
 	l, err := n.readLayout(ctx)
 	if err != nil {
 		return nil // the instance ends
 	}
 	n.owners.prepare(l)
 	n.layout.Store(l)
-	go n.followMembers(ctx)
 	return n.owners.run(ctx)
 }
 
@@ -305,24 +308,38 @@
 	return err == nil
 }
 
+// readMembers learns the other instances and tells them of this one.
 func (n *Node) readMembers(ctx context.Context) bool {
-	tctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	list, err := n.readInstances(ctx)
+	if err != nil {
+		return false
+	}
+	for _, i := range list {
+		n.peers.learn(i)
+	}
+	n.peers.announce(ctx)
+	return true
+}
+
+// readInstances reads the entries of all instances that have registered.
+func (n *Node) readInstances(ctx context.Context) ([]Instance, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	p, err := n.deps.Store.Range(tctx, tableInstances, "", "", "")
+	p, err := n.deps.Store.Range(ctx, tableInstances, "", "", "")
 	n.noteStore(err)
 	if err != nil {
-		return false
+		return nil, err
 	}
+	var list []Instance
 	for _, r := range p.Rows {
 		var i Instance
 		if err := workload.Decode(r.Value, &i); err != nil {
 			logger.WithField("key", r.Key).WithError(err).Error("an instance's entry cannot be read")
 			continue
 		}
-		n.peers.learn(i)
+		list = append(list, i)
 	}
-	n.peers.announce(ctx)
-	return true
+	return list, nil
 }
 
 // reload checks the settings file at each SIGHUP and takes what may change while
--- /dev/null
+++ b/internal/node/rank.go
@@ -0,0 +1,99 @@
+package node
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// strongCPU is the least processor of an instance that owns shards, as a share
+	// of the largest one's: an owner follows every run of its workers.
+	strongCPU = 0.5
+	// strongLink is the same for the network link. An owner of 60 workers moves
+	// some megabits a second.
+	strongLink = 0.1
+)
+
+// Rank orders instances for the ownership of a shard: those of its zone first,
+// among them the strong ones, each group by rendezvous hashing. The shards of a
+// zone are spread evenly over its strong instances.
+func (l *Layout) Rank(shard string, instances []Instance) []Instance {
+	zone := l.ZoneOf(shard)
+	strong := strongOf(instances)
+	ranked := slices.Clone(instances)
+	slices.SortFunc(ranked, func(a, b Instance) int {
+		return cmp.Or(
+			before(a.Zone == zone, b.Zone == zone),
+			before(strong[a.Name], strong[b.Name]),
+			cmp.Compare(weight(shard, a), weight(shard, b)),
+			cmp.Compare(a.Name, b.Name),
+		)
+	})
+	first := slices.IndexFunc(ranked, func(i Instance) bool { return i.Name == l.seat(shard, zone, ranked, strong) })
+	if first > 0 {
+		i := ranked[first]
+		ranked = slices.Insert(slices.Delete(ranked, first, first+1), 0, i)
+	}
+	return ranked
+}
+
+// seat names the strong instance of the zone that is to own the shard, or none. The
+// shards of the zone choose in turn, and each instance takes its even share of them.
+func (l *Layout) seat(shard, zone string, instances []Instance, strong map[string]bool) string {
+	var seats []Instance
+	for _, i := range instances {
+		if i.Zone == zone && strong[i.Name] {
+			seats = append(seats, i)
+		}
+	}
+	if len(seats) == 0 {
+		return ""
+	}
+	taken := map[string]int{}
+	share := (l.PerZone + len(seats) - 1) / len(seats)
+	for n := range l.PerZone {
+		name := shardName(zone, n)
+		best := ""
+		least := uint64(0)
+		for _, i := range seats {
+			if w := weight(name, i); taken[i.Name] < share && (best == "" || w < least) {
+				best, least = i.Name, w
+			}
+		}
+		if name == shard {
+			return best
+		}
+		taken[best]++
+	}
+	return ""
+}
+
+// strongOf tells which instances are strong enough to own shards: next to the
+// largest known machine.
+func strongOf(instances []Instance) map[string]bool {
+	cores, link := 0.0, 0.0
+	for _, i := range instances {
+		cores, link = max(cores, i.Cores), max(link, i.LinkMbps)
+	}
+	strong := make(map[string]bool, len(instances))
+	for _, i := range instances {
+		strong[i.Name] = i.Cores >= strongCPU*cores && i.LinkMbps >= strongLink*link
+	}
+	return strong
+}
+
+// weight orders instances for a shard; the lowest comes first.
+func weight(shard string, i Instance) uint64 { return xxhash.Sum64String(shard + "/" + i.Name) }
+
+// before orders true before false.
+func before(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -20,10 +20,21 @@
 	Seeds    []string `json:"seeds"`   // control addresses of some instances
 	Store    string   `json:"store"`
 	Adviser  string   `json:"adviser"` // empty where there is none
+	Machine  Machine  `json:"machine"`
 	Bounds   Bounds   `json:"bounds"`
 	LogLevel string   `json:"log_level"`
 }
 
+// Machine is what the instance may use. Zero stands for unknown.
+type Machine struct {
+	CPUShare float64 `json:"cpu_share"` // of a core
+	CPUSpeed float64 `json:"cpu_speed"` // speed of that core, 1 for a usual one
+	LinkMbps float64 `json:"link_mbps"` // megabits a second
+}
+
+// Cores is the processor in usual cores.
+func (m Machine) Cores() float64 { return m.CPUShare * m.CPUSpeed }
+
 // Bounds are figures of the platform that the node keeps to.
 type Bounds struct {
 	LeaseMax   job.Duration `json:"lease_max"`   // longest lease that a worker grants
@@ -63,6 +74,9 @@
 			c.add(result.SettingsAddress, path, "an IP number and a port, or nothing")
 		}
 	}
+	if s.Machine.CPUShare < 0 || s.Machine.CPUSpeed < 0 || s.Machine.LinkMbps < 0 {
+		c.add(result.SettingsRange, "machine", "no negative amounts")
+	}
 	if s.Bounds.LeaseMax <= 0 {
 		c.add(result.SettingsRange, "bounds.lease_max", "a positive duration")
 	}
