--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -28,7 +28,7 @@
 		return
 	}
 	t := j.find(id)
-	if t == nil || t.Phase == workload.Done || t.Run != e.Run {
+	if t == nil || t.Phase == workload.Done || t.Run != e.Run && !t.unbegun(e) {
 		s.clear(h, e)
 		return
 	}
@@ -57,6 +57,16 @@
 	}
 }
 
+// unbegun reports whether e is the success of an earlier run of t while the newest one
+// was not begun. It comes late from a worker that was out of reach until its leases
+// were over.
+func (t *task) unbegun(e fleet.EndReport) bool {
+	if e.Kind != fleet.EndDone || e.Run > t.Run || t.step.Gang || t.step.Lasting {
+		return false
+	}
+	return t.Phase == workload.Pending || t.stage == stagePlanned
+}
+
 // sawDuration notes how long a whole run took.
 func (s *Shard) sawDuration(t *task, now time.Duration) {
 	millis := (now - t.since).Milliseconds()
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -80,6 +80,23 @@
 	h.lapseAt = max(h.lapseAt, h.clockAt+left+lapseMargin)
 }
 
+// listedGrace is how long after its lease the run of a task that ends by itself is
+// waited for while the registry lists the worker. Such a worker lives and is only out
+// of reach, and the run may have succeeded: another one would do its work twice. The
+// registry drops a dead worker before its leases are over.
+const listedGrace = 3 * time.Second
+
+// lapsed reports whether the run of t is over because the worker's leases are.
+func (h *host) lapsed(t *task, now time.Duration) bool {
+	if h.silent == 0 {
+		return false
+	}
+	if h.listed && !t.step.Lasting && !t.step.Gang {
+		return now > h.lapseAt+listedGrace
+	}
+	return now > h.lapseAt
+}
+
 // heard notes an answer with the worker's clock.
 func (h *host) heard(clock int64, now time.Duration) {
 	h.clock, h.clockAt = clock, now
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -146,9 +146,8 @@
 		s.refuseUnsent()
 	}
 	for id, h := range s.hosts {
-		lapsed := h.silent > 0 && now > h.lapseAt
 		for _, t := range h.tasks {
-			if lapsed && t.stage != stagePlanned && t.stage != stageSent {
+			if h.lapsed(t, now) && t.stage != stagePlanned && t.stage != stageSent {
 				logger.WithField("task", t.name).WithField("run", t.Run).WithField("worker", id).Info("lease lapsed")
 				s.release(t, now)
 				again = true
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -296,3 +296,70 @@
 		t.Fatal("not set aside after three failures of different jobs")
 	}
 }
+
+// TestLateSuccess: the success of a lapsed run counts as long as its successor was not
+// begun; work that is done must not run again.
+func TestLateSuccess(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		stage stage
+		want  workload.Phase
+	}{
+		{"waits", stageNone, workload.Done},
+		{"decided", stagePlanned, workload.Done},
+		{"sent", stageSent, workload.Placed},
+		{"runs", stageRunning, workload.Placed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(2)
+			f.cfg.Metrics = noMetrics()
+			j := f.add("a", "short", workload.Step{Tasks: 1})
+			task := j.tasks[0][0]
+			f.plan(f.now)
+			f.run()
+			old := f.hosts[task.Worker]
+			f.release(task, f.now)
+			if c.stage != stageNone {
+				f.plan(f.now)
+				task.stage = c.stage
+			}
+			f.applyEnds(old, []fleet.EndReport{{Number: 1, Task: task.name, Run: 1, Kind: fleet.EndDone}})
+			if task.Phase != c.want {
+				t.Errorf("phase %v, want %v", task.Phase, c.want)
+			}
+			for id, h := range f.hosts {
+				if task.Phase == workload.Done && len(h.tasks) > 0 {
+					t.Errorf("worker %s still has the task", id)
+				}
+			}
+		})
+	}
+}
+
+// TestLapse: what ends by itself is waited for a little longer where the worker is
+// known to live.
+func TestLapse(t *testing.T) {
+	over := 100 * time.Millisecond
+	for _, c := range []struct {
+		name    string
+		listed  bool
+		lasting bool
+		after   time.Duration
+		want    bool
+	}{
+		{"lease runs", false, false, -over, false},
+		{"dead worker", false, false, over, true},
+		{"listed worker", true, false, over, false},
+		{"listed worker, later", true, false, listedGrace + over, true},
+		{"lasting run on a listed worker", true, true, over, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHost(fleet.Worker{ID: "w"})
+			h.listed, h.silent, h.lapseAt = c.listed, time.Second, time.Minute
+			got := h.lapsed(&task{step: &workload.Step{Lasting: c.lasting}}, h.lapseAt+c.after)
+			if got != c.want {
+				t.Errorf("lapsed %v, want %v", got, c.want)
+			}
+		})
+	}
+}
