New jobs go to the least loaded shard; room is kept for an overdue lasting task

Cause: the home of a job follows from its id, so shards differ in load by a fifth (a lasting job takes 90 of 2,160 cores), and a waiting job was moved only after 250 ms and only where it had not begun.

Change: a new job that lasts or fills goes at once to a shard whose load, of the kind that matters to it, is lower by a twentieth; loads are summed at most every 100 ms. Where a lasting task is overdue and nothing may be stopped for it, the worker nearest to having room is kept from others.

Tests: TestNewJobGoesToALessLoadedShard, TestOverdueLastingTaskGetsAWholeWorker (fails without the reservation).

--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -11,8 +11,9 @@
 
 // Others are the other shards of the installation.
 type Others interface {
-	// Better names a shard that can run a waiting job sooner, or none.
-	Better(j *workload.Spec) (shard string, ok bool)
+	// Better names a shard that can run a job sooner, or none. A job that is new has
+	// not waited for room here.
+	Better(j *workload.Spec, isNew bool) (shard string, ok bool)
 	// Deliver returns nil once the shard has stored the job.
 	Deliver(ctx context.Context, shard string, a workload.Accepted) error
 	// Cancel returns nil once the cancellation is durable, or the job is over.
@@ -46,7 +47,7 @@
 	moved := false
 	for _, j := range s.movable(now) {
 		// Shards are compared without the lock: that asks them for their loads.
-		if shard, ok := s.cfg.Others.Better(&j.spec); ok {
+		if shard, ok := s.cfg.Others.Better(&j.spec, false); ok {
 			moved = s.move(j, shard, now) || moved
 		}
 	}
@@ -76,10 +77,25 @@
 	if !s.mayMove(j, now) {
 		return false
 	}
+	s.moveTo(j, shard)
+	return true
+}
+
+// moveTo has j moved with the next commit. The caller holds the lock.
+func (s *Shard) moveTo(j *job, shard string) {
 	j.rec.Moved, j.dirty = &workload.Moved{Shard: shard}, true
 	s.moving++
 	logger.WithField("job", j.spec.ID).WithField("shard", s.cfg.Name).WithField("to", shard).Info("job moves to another shard")
-	return true
+}
+
+// better names the shard to which a new job goes at once, or none. It must be called
+// without the lock, as it asks the shards for their loads.
+func (s *Shard) better(a *workload.Accepted) string {
+	if s.cfg.Others == nil || a.Moved || a.Spec.Timed() {
+		return ""
+	}
+	shard, _ := s.cfg.Others.Better(&a.Spec, true)
+	return shard
 }
 
 // mayMove reports whether j waits and has never had a run.
@@ -192,22 +208,42 @@
 type Load struct {
 	Capacity int64    `json:"cap"`  // thousandths of a core of usable workers
 	Wanted   int64    `json:"want"` // of placed and of startable tasks, as declared
+	// Committed is the part of Wanted that counts against the capacity.
+	Committed int64    `json:"com"`
 	Racks    []string `json:"racks,omitempty"`
 	Services []string `json:"services,omitempty"`
 }
 
-// Share is the load as a share of the capacity.
-func (l Load) Share() float64 {
-	if l.Capacity == 0 {
-		return 1e9
+// noCapacity is the share of a shard without capacity: above any other.
+const noCapacity = 1e9
+
+// Share is the load that matters to a step as a share of the capacity: what fills
+// competes with everything, other tasks with what is committed.
+func (l Load) Share(st *workload.Step) float64 {
+	switch {
+	case l.Capacity == 0:
+		return noCapacity
+	case st.Fills:
+		return float64(l.Wanted) / float64(l.Capacity)
 	}
-	return float64(l.Wanted) / float64(l.Capacity)
+	return float64(l.Committed) / float64(l.Capacity)
 }
 
+// loadFor is how long a sum of the load is used. Pings and new jobs ask for it much
+// more often.
+const loadFor = 100 * time.Millisecond
+
 // Load returns the shard's load, for the choice among shards.
 func (s *Shard) Load() Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if now := s.now(); now-s.loadAt > loadFor {
+		s.loadSum, s.loadAt = s.sumLoad(), now
+	}
+	return s.loadSum
+}
+
+func (s *Shard) sumLoad() Load {
 	var l Load
 	for _, h := range s.hosts {
 		if !h.listed || h.Draining || h.silent > 0 {
@@ -226,6 +262,7 @@
 			for _, t := range tasks {
 				if t.Phase == workload.Placed || (t.Phase == workload.Pending && j.active() && j.open(k, t.id.Step)) {
 					l.Wanted += t.step.Needs.MilliCPU
+					l.Committed += t.step.Committed().MilliCPU
 				}
 			}
 		}
--- a/internal/dispatch/move_test.go
+++ b/internal/dispatch/move_test.go
@@ -19,9 +19,12 @@
 	cancelled []string
 	failures  int // of the next calls of Cancel
 	forgotten bool
+	takesNew  bool
 }
 
-func (o *otherShard) Better(*workload.Spec) (string, bool) { return "other", true }
+func (o *otherShard) Better(_ *workload.Spec, isNew bool) (string, bool) {
+	return "other", !isNew || o.takesNew
+}
 
 func (o *otherShard) Deliver(_ context.Context, _ string, a workload.Accepted) error {
 	o.mu.Lock()
@@ -78,6 +81,31 @@
 	})
 }
 
+// TestNewJobGoesToALessLoadedShard: the caller's answer means that the job is stored,
+// and no run of it begins at its home.
+func TestNewJobGoesToALessLoadedShard(t *testing.T) {
+	other := &otherShard{takesNew: true}
+	inWorld(t, 1, func(w *world) {
+		w.others = other
+		w.end()
+		w.takeOver()
+		w.settle()
+		w.submit(steps("a", "batch", 1))
+		if p, err := w.store.Range(w.ctx, TableAccepted, "s", "", ""); err != nil || len(p.Rows) != 1 {
+			t.Fatalf("%d accepted rows, %v", len(p.Rows), err)
+		}
+		time.Sleep(500 * time.Millisecond)
+		w.submit(steps("a", "batch", 1)) // a caller's retry
+		time.Sleep(time.Second)
+		if n := w.workers.Starts(); n != 0 {
+			t.Errorf("%d starts at the home", n)
+		}
+		if !slices.Equal(other.jobs, []string{"a"}) {
+			t.Errorf("delivered %v", other.jobs)
+		}
+	})
+}
+
 // TestCancellationIsPassedOn: a cancellation that was stored for the home of a moved
 // job reaches the job's shard, also after a takeover in between.
 func TestCancellationIsPassedOn(t *testing.T) {
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -363,3 +363,28 @@
 		})
 	}
 }
+
+// TestOverdueLastingTaskGetsAWholeWorker: short tasks that come all the time do not
+// take the room that a large lasting task waits for.
+func TestOverdueLastingTaskGetsAWholeWorker(t *testing.T) {
+	f := newFixture(2)
+	f.cfg.Metrics = noMetrics()
+	four := resource.Vector{MilliCPU: 4000, MemoryMB: 1000}
+	running := f.add("running", "short", workload.Step{Tasks: 4, Needs: four})
+	f.plan(f.now)
+	f.run()
+	lasting := f.add("lasting", "short", workload.Step{Tasks: 1, Lasting: true, Needs: resource.Vector{MilliCPU: 10000, MemoryMB: 1000}})
+	f.now += overdueAfter + time.Second
+	f.add("waiting", "short", workload.Step{Tasks: 9, Needs: four})
+	freed := f.at(running, 0)
+	for _, task := range running.tasks[0] {
+		if task.Worker != freed {
+			continue
+		}
+		f.applyEnds(f.hosts[freed], []fleet.EndReport{{Number: int64(task.id.Index) + 1, Task: task.name, Run: 1, Kind: fleet.EndDone}})
+		f.plan(f.now)
+	}
+	if f.at(lasting, 0) != freed {
+		t.Errorf("the lasting task is on %q, want %s", f.at(lasting, 0), freed)
+	}
+}
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"skylarkport/internal/contract/fleet"
+	"skylarkport/internal/resource"
 )
 
 const (
@@ -46,6 +47,9 @@
 		}
 	}
 	if target == nil {
+		if c.class == classOverdue {
+			p.reserve(t, q)
+		}
 		return
 	}
 	for _, v := range victims {
@@ -59,6 +63,38 @@
 	target.free = target.free.Sub(t.step.Committed())
 }
 
+// reserve keeps the worker that is nearest to having room for t from others, until
+// its short runs have ended: they end on all workers in turn, and whatever each leaves
+// would go to the next short one.
+func (p *pass) reserve(t *task, q *fleet.Queue) {
+	var found *slot
+	for _, sl := range p.slots {
+		if !serviceFits(t, q, sl) || !labelFits(t, q, sl) || !apartFits(t, q, sl) {
+			continue
+		}
+		if !t.step.Committed().Fits(sl.free.Add(sl.leaving())) {
+			continue
+		}
+		if found == nil || sl.free.MilliCPU > found.free.MilliCPU {
+			found = sl
+		}
+	}
+	if found != nil {
+		found.free = found.free.Sub(t.step.Committed())
+	}
+}
+
+// leaving is the room of the runs that end by themselves.
+func (sl *slot) leaving() resource.Vector {
+	var v resource.Vector
+	for _, t := range sl.host.tasks {
+		if !t.step.Lasting {
+			v = v.Add(t.step.Committed())
+		}
+	}
+	return v
+}
+
 const (
 	// wastePerWait is the wait after which the waste allowed has doubled: urgent
 	// work has to start within seconds, whatever it costs.
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -97,6 +97,8 @@
 	summarized time.Duration
 	advised    map[string]*advice
 	cancel     context.CancelCauseFunc
+	loadSum    Load // of the shard, at loadAt
+	loadAt     time.Duration
 	idle       chan struct{} // closed and renewed after each commit cycle
 }
 
@@ -214,6 +216,7 @@
 	if err := s.awaitLoaded(ctx); err != nil {
 		return err
 	}
+	better := s.better(&a)
 	s.mu.Lock()
 	if j, ok := s.jobs[a.Spec.ID]; ok {
 		if j.stored || j.kept {
@@ -236,6 +239,9 @@
 	}
 	j := s.admit(a.Spec, at)
 	j.arrived = a.Moved
+	if better != "" {
+		s.moveTo(j, better)
+	}
 	return s.await(ctx, j)
 }
 
--- a/internal/node/balance.go
+++ b/internal/node/balance.go
@@ -11,6 +11,10 @@
 )
 
 const (
+	// admitGain is how much lower, as a share of its capacity, another shard's load
+	// has to be for a new job to go there at once. Loads are some hundred
+	// milliseconds old, in which jobs of about that size arrive.
+	admitGain = 0.05
 	// moveGain is how much lower, as a share of its capacity, another shard's load
 	// has to be for a waiting job to move there.
 	moveGain = 0.15
@@ -34,7 +38,15 @@
 }
 
 // Better implements dispatch.Others.
-func (t *others) Better(j *workload.Spec) (string, bool) { return t.node.owners.betterShard(t.own, j) }
+func (t *others) Better(j *workload.Spec, isNew bool) (string, bool) {
+	if !isNew {
+		return t.node.owners.betterShard(t.own, j, moveGain)
+	}
+	if st := &j.Steps[0]; st.Lasting || st.Fills {
+		return t.node.owners.betterShard(t.own, j, admitGain)
+	}
+	return "", false // it is short, and a move takes as long as an end of another
+}
 
 // Deliver implements dispatch.Others.
 func (t *others) Deliver(ctx context.Context, shard string, a workload.Accepted) error {
@@ -60,8 +72,8 @@
 }
 
 // betterShard names the shard that holds the data of a waiting job, or else the one
-// with the least load if that is much lower than the load of from.
-func (o *owners) betterShard(from string, j *workload.Spec) (string, bool) {
+// with the least load if that is lower than the load of from by gain.
+func (o *owners) betterShard(from string, j *workload.Spec, gain float64) (string, bool) {
 	cfg := o.node.Config()
 	if cfg == nil {
 		return "", false
@@ -72,7 +84,8 @@
 	}
 	loads := o.loads()
 	own := loads[from]
-	best, least := "", own.Share()-moveGain
+	st := &j.Steps[0]
+	best, least := "", own.Share(st)-gain
 	if !slices.Contains(own.Services, q.Service) {
 		least = 1e9
 	}
@@ -80,11 +93,11 @@
 		if name == from || !slices.Contains(l.Services, q.Service) {
 			continue
 		}
-		if rack := j.Steps[0].Rack; rack != "" && slices.Contains(l.Racks, rack) {
+		if rack := st.Rack; rack != "" && slices.Contains(l.Racks, rack) {
 			return name, true
 		}
-		if l.Share() < least {
-			best, least = name, l.Share()
+		if share := l.Share(st); share < least {
+			best, least = name, share
 		}
 	}
 	if best != "" {
@@ -97,8 +110,10 @@
 func (o *owners) addLoad(shard string, j *workload.Spec) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	st := j.Steps[0]
-	o.shards[shard].known.Load.Wanted += int64(st.Tasks) * st.Needs.MilliCPU
+	st := &j.Steps[0]
+	load := &o.shards[shard].known.Load
+	load.Wanted += int64(st.Tasks) * st.Needs.MilliCPU
+	load.Committed += int64(st.Tasks) * st.Committed().MilliCPU
 }
 
 // loads returns the newest known load of every shard whose owner is heard.
