Serving images are gathered in shards; filling jobs go where their image has room

Change: a new lasting job goes to the shard that the hash of its image ranks first and that is not far above the mean load; loads tell the room per filling image, and a filling job goes to the shard with the most room for its image, less what waits there.

--- a/internal/dispatch/fill.go
+++ b/internal/dispatch/fill.go
@@ -74,7 +74,10 @@
 	}
 	most, ok := sl.bearable[image]
 	if !ok {
-		most = p.s.images.bearable(image, sl.host, p.now)
+		if sl.heads == nil {
+			sl.heads = p.s.images.headrooms(sl.host, p.now)
+		}
+		most = p.s.images.bearableOf(image, sl.heads)
 		sl.bearable[image] = most
 	}
 	return most
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"skylarkport/internal/pause"
@@ -203,69 +202,3 @@
 		s.drop(j)
 	})
 }
-
-// Load is how much of the shard's capacity is asked for, and what it has.
-type Load struct {
-	Capacity int64    `json:"cap"`  // thousandths of a core of usable workers
-	Wanted   int64    `json:"want"` // of placed and of startable tasks, as declared
-	// Committed is the part of Wanted that counts against the capacity.
-	Committed int64    `json:"com"`
-	Racks    []string `json:"racks,omitempty"`
-	Services []string `json:"services,omitempty"`
-}
-
-// noCapacity is the share of a shard without capacity: above any other.
-const noCapacity = 1e9
-
-// Share is the load that matters to a step as a share of the capacity: what fills
-// competes with everything, other tasks with what is committed.
-func (l Load) Share(st *workload.Step) float64 {
-	switch {
-	case l.Capacity == 0:
-		return noCapacity
-	case st.Fills:
-		return float64(l.Wanted) / float64(l.Capacity)
-	}
-	return float64(l.Committed) / float64(l.Capacity)
-}
-
-// loadFor is how long a sum of the load is used. Pings and new jobs ask for it much
-// more often.
-const loadFor = 100 * time.Millisecond
-
-// Load returns the shard's load, for the choice among shards.
-func (s *Shard) Load() Load {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if now := s.now(); now-s.loadAt > loadFor {
-		s.loadSum, s.loadAt = s.sumLoad(), now
-	}
-	return s.loadSum
-}
-
-func (s *Shard) sumLoad() Load {
-	var l Load
-	for _, h := range s.hosts {
-		if !h.listed || h.Draining || h.silent > 0 {
-			continue
-		}
-		l.Capacity += h.Capacity.MilliCPU
-		if !slices.Contains(l.Racks, h.Rack) {
-			l.Racks = append(l.Racks, h.Rack)
-		}
-		if !slices.Contains(l.Services, h.Service) {
-			l.Services = append(l.Services, h.Service)
-		}
-	}
-	for _, j := range s.jobs {
-		for k, tasks := range j.tasks {
-			for _, t := range tasks {
-				if t.Phase == workload.Placed || (t.Phase == workload.Pending && j.active() && j.open(k, t.id.Step)) {
-					l.Wanted += t.step.Needs.MilliCPU
-					l.Committed += t.step.Committed().MilliCPU
-				}
-			}
-		}
-	}
-	return l
-}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -20,6 +20,7 @@
 	// bearable is the share of the processors that one more run of a filling
 	// image may use; it is worked out when asked for.
 	bearable map[string]float64
+	heads    []headroomOf // of its serving runs, worked out when asked for
 }
 
 // slots returns the hosts that take new runs.
@@ -284,5 +285,6 @@
 	}
 	if t.serving() || t.step.Fills {
 		clear(sl.bearable)
+		sl.heads = nil
 	}
 }
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -99,6 +99,8 @@
 	cancel     context.CancelCauseFunc
 	loadSum    Load // of the shard, at loadAt
 	loadAt     time.Duration
+	rooms      []ImageRoom // at roomsAt
+	roomsAt    time.Duration
 	idle       chan struct{} // closed and renewed after each commit cycle
 }
 
--- a/internal/dispatch/sharing.go
+++ b/internal/dispatch/sharing.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -185,25 +186,51 @@
 	return b.limit(t.step.Image, float64(t.step.TargetMillis)) - loadMargin - u
 }
 
-// bearable is the share of h's processors that one more run of a filling image
-// may use without bringing a serving run there near its target.
-func (b *imageBook) bearable(image string, h *host, now time.Duration) float64 {
-	most := 1.0
+// headroomOf is the headroom of a serving image on a host.
+type headroomOf struct {
+	image string
+	room  float64
+}
+
+// headrooms returns the headroom of every serving run on h.
+func (b *imageBook) headrooms(h *host, now time.Duration) []headroomOf {
+	var out []headroomOf
 	for _, t := range h.tasks {
-		if !t.serving() {
-			continue
+		if t.serving() {
+			out = append(out, headroomOf{t.step.Image, b.headroom(t, h, now)})
 		}
-		room := b.headroom(t, h, now)
-		if room < 0 {
+	}
+	return out
+}
+
+// bearableOf is the share of a host's processors that one more run of a filling image
+// may use without bringing a serving run there near its target; negative where one is
+// near it already.
+func (b *imageBook) bearableOf(image string, heads []headroomOf) float64 {
+	most := 1.0
+	for _, s := range heads {
+		if s.room < 0 {
 			return -1
 		}
-		if w := b.weight(imagePair{image, t.step.Image}).mean; w > 0 {
-			most = min(most, room/w)
+		if w := b.weight(imagePair{image, s.image}).mean; w > 0 {
+			most = min(most, s.room/w)
 		}
 	}
 	return most
 }
 
+// filling lists the filling images that were seen beside serving ones.
+func (b *imageBook) filling() []string {
+	var out []string
+	for p := range b.pairs {
+		if !slices.Contains(out, p.fills) {
+			out = append(out, p.fills)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // worstStrain is the most that the filling run f adds to the utilisation of a
 // serving run on h.
 func (b *imageBook) worstStrain(f *task, h *host) float64 {
--- a/internal/node/balance.go
+++ b/internal/node/balance.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"skylarkport/internal/dispatch"
@@ -10,17 +9,8 @@
 	"skylarkport/internal/workload"
 )
 
-const (
-	// admitGain is how much lower, as a share of its capacity, another shard's load
-	// has to be for a new job to go there at once. Loads are some hundred
-	// milliseconds old, in which jobs of about that size arrive.
-	admitGain = 0.05
-	// moveGain is how much lower, as a share of its capacity, another shard's load
-	// has to be for a waiting job to move there.
-	moveGain = 0.15
-	// loadFor is how old another shard's load may be.
-	loadFor = 2 * time.Second
-)
+// loadFor is how old another shard's load may be.
+const loadFor = 2 * time.Second
 
 // others are the other shards as the owner of one sees them. It implements
 // dispatch.Others.
@@ -39,13 +29,24 @@
 
 // Better implements dispatch.Others.
 func (t *others) Better(j *workload.Spec, isNew bool) (string, bool) {
-	if !isNew {
-		return t.node.owners.betterShard(t.own, j, moveGain)
+	cfg := t.node.Config()
+	if cfg == nil {
+		return "", false
+	}
+	q := cfg.ByName(j.Queue)
+	if q == nil {
+		return "", false
+	}
+	c := choice{own: t.own, service: q.Service, loads: t.node.owners.loads()}
+	shard := c.forWaiting(j)
+	if isNew {
+		shard = c.forNew(j)
 	}
-	if st := &j.Steps[0]; st.Lasting || st.Fills {
-		return t.node.owners.betterShard(t.own, j, admitGain)
+	if shard == "" || shard == t.own {
+		return "", false
 	}
-	return "", false // it is short, and a move takes as long as an end of another
+	t.node.owners.addLoad(shard, j)
+	return shard, true
 }
 
 // Deliver implements dispatch.Others.
@@ -71,49 +72,11 @@
 	return err == nil, err
 }
 
-// betterShard names the shard that holds the data of a waiting job, or else the one
-// with the least load if that is lower than the load of from by gain.
-func (o *owners) betterShard(from string, j *workload.Spec, gain float64) (string, bool) {
-	cfg := o.node.Config()
-	if cfg == nil {
-		return "", false
-	}
-	q := cfg.ByName(j.Queue)
-	if q == nil {
-		return "", false
-	}
-	loads := o.loads()
-	own := loads[from]
-	st := &j.Steps[0]
-	best, least := "", own.Share(st)-gain
-	if !slices.Contains(own.Services, q.Service) {
-		least = 1e9
-	}
-	for name, l := range loads {
-		if name == from || !slices.Contains(l.Services, q.Service) {
-			continue
-		}
-		if rack := st.Rack; rack != "" && slices.Contains(l.Racks, rack) {
-			return name, true
-		}
-		if share := l.Share(st); share < least {
-			best, least = name, share
-		}
-	}
-	if best != "" {
-		o.addLoad(best, j)
-	}
-	return best, best != ""
-}
-
 // addLoad counts a moving job to its new shard until that tells its load again.
 func (o *owners) addLoad(shard string, j *workload.Spec) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	st := &j.Steps[0]
-	load := &o.shards[shard].known.Load
-	load.Wanted += int64(st.Tasks) * st.Needs.MilliCPU
-	load.Committed += int64(st.Tasks) * st.Committed().MilliCPU
+	o.shards[shard].known.Load.Add(j)
 }
 
 // loads returns the newest known load of every shard whose owner is heard.
