Takeovers judge the owner that they replace; a strong instance elsewhere before a weak one

An instance that had judged epoch 1 claimed the shard 30 ms after it had heard of epoch 2, and one whose newest ping was older than the claim took the owner for one that does not run the shard.

Change: a takeover ends where the row has a later epoch than the judged owner; an owner that commits is left alone also where its last ping did not name the shard; strong instances of other zones rank before weak ones of the zone; gathering stops at 0.88 of a shard.

--- a/internal/node/choice.go
+++ b/internal/node/choice.go
@@ -25,7 +25,7 @@
 	// gatherFree is the load up to which images are gathered whatever the mean is.
 	gatherFree = 0.7
 	// gatherMost is the load above which nothing is gathered.
-	gatherMost = 0.92
+	gatherMost = 0.88
 )
 
 // choice is a choice among shards for one job, by their loads.
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -230,7 +230,7 @@
 	}
 	known := own.known
 	o.mu.Unlock()
-	wait, bad, silent := o.grounds(known)
+	wait, bad, hearsay := o.grounds(known)
 	if !bad || n.leaving.Load() || !n.storeOK() {
 		// While this instance does not reach the store it cannot judge an owner.
 		o.mu.Lock()
@@ -244,7 +244,7 @@
 	if own.badSince.IsZero() {
 		own.badSince, own.beat = time.Now(), 0
 	}
-	look := silent && own.beat == 0
+	look := hearsay && own.beat == 0
 	due := !look && time.Since(own.badSince) >= wait
 	own.busy = due || look
 	o.mu.Unlock()
@@ -252,6 +252,6 @@
 	case look:
 		go o.noteBeat(ctx, own)
 	case due:
-		go o.takeOver(ctx, own, silent)
+		go o.takeOver(ctx, own, known, hearsay)
 	}
 }
--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -16,17 +16,18 @@
 	strongLink = 0.1
 )
 
-// Rank orders instances for the ownership of a shard: those of its zone first,
-// among them the strong ones, each group by rendezvous hashing. The shards of a
-// zone are spread evenly over its strong instances.
+// Rank orders instances for the ownership of a shard: the strong ones first, among
+// them those of its zone, each group by rendezvous hashing. The shards of a zone are
+// spread evenly over its strong instances. A strong instance elsewhere comes before a
+// weak one of the zone, which would take seconds to load the shard.
 func (l *Layout) Rank(shard string, instances []Instance) []Instance {
 	zone := l.ZoneOf(shard)
 	strong := strongOf(instances)
 	ranked := slices.Clone(instances)
 	slices.SortFunc(ranked, func(a, b Instance) int {
 		return cmp.Or(
-			before(a.Zone == zone, b.Zone == zone),
 			before(strong[a.Name], strong[b.Name]),
+			before(a.Zone == zone, b.Zone == zone),
 			cmp.Compare(weight(shard, a), weight(shard, b)),
 			cmp.Compare(a.Name, b.Name),
 		)
--- a/internal/node/rank_test.go
+++ b/internal/node/rank_test.go
@@ -47,6 +47,9 @@
 				t.Errorf("shard %s: %v has rank %d", shard, i, r)
 			}
 		}
+		if i := ranked[2]; i.Cores < 0.8 {
+			t.Errorf("shard %s: the weak %v comes before strong ones of the other zone", shard, i)
+		}
 		owned[ranked[0].Name]++
 	}
 	for name, n := range owned {
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -12,9 +12,9 @@
 	"skylarkport/internal/workload"
 )
 
-// grounds tells whether a shard needs another owner, and after which pause.
-// silent is true where only this instance's pings speak against the owner.
-func (o *owners) grounds(known Owned) (wait time.Duration, bad, silent bool) {
+// grounds tells whether a shard needs another owner, and after which pause. hearsay
+// is true where only pings speak against the owner: one that commits is left alone.
+func (o *owners) grounds(known Owned) (wait time.Duration, bad, hearsay bool) {
 	n := o.node
 	if known.Epoch == 0 || known.Owner == "" {
 		return unownedPause, true, false
@@ -30,8 +30,8 @@
 	}
 	if !n.peers.owns(known.Owner, known.Shard, known.Epoch) {
 		// The row names an instance that does not run the shard: a claim may be
-		// carried out after its instance gave it up.
-		return unclaimedPause, true, false
+		// carried out after its instance gave it up. Or its word is still under way.
+		return unclaimedPause, true, true
 	}
 	return ailingPause, known.Ailing, false
 }
@@ -67,8 +67,9 @@
 	return p.Rows[0], nil
 }
 
-// takeOver writes the owner row and runs the shard.
-func (o *owners) takeOver(ctx context.Context, own *ownership, silent bool) {
+// takeOver writes the owner row and runs the shard, unless there is an owner after the
+// one that was judged.
+func (o *owners) takeOver(ctx context.Context, own *ownership, judged Owned, hearsay bool) {
 	defer func() {
 		o.mu.Lock()
 		own.busy, own.badSince = false, time.Time{}
@@ -80,15 +81,15 @@
 		return
 	}
 	o.mu.Lock()
-	known, beat := own.known, own.beat
+	beat := own.beat
 	o.mu.Unlock()
-	if cur.Epoch > known.Epoch {
+	if cur.Epoch > judged.Epoch {
 		o.saw([]Owned{{Shard: own.name, Epoch: cur.Epoch, Control: cur.Control, Owner: cur.Owner, Life: cur.Life}})
 		if cur.Owner != o.node.self.Name {
 			return // somebody else was first
 		}
 	}
-	if silent {
+	if hearsay {
 		if v, err := o.beatVersion(ctx, own.name); err != nil || max(v, 1) != beat {
 			return // the owner commits: only this instance does not reach it
 		}
