Jobs of a burst are counted at once when shards are chosen

Jobs that came by the inbox were not weighed at all.

Change: a job that stays is added to the sum at once, one that is sent on is added once for each home that sends as much meanwhile; jobs from the inbox are weighed like others; a job that is known is not weighed again.

--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -193,42 +193,53 @@
 
 // takeIn applies inbox rows: first the jobs, then the cancellations.
 func (s *Shard) takeIn(rows []fleet.Row) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	if len(rows) == 0 {
+		return
+	}
 	for _, r := range rows {
-		if r.Part != s.cfg.Name || r.Deleted || !strings.HasPrefix(r.Key, InboxSubmit) {
-			continue
-		}
-		var a workload.Accepted
-		if err := workload.Decode(r.Value, &a); err != nil {
-			logger.WithField("key", r.Key).WithError(err).Error("an inbox row cannot be read")
-			continue
-		}
-		j := s.jobs[a.Spec.ID]
-		if j == nil {
-			j = s.admit(a.Spec, fleet.Clock(a.AtMillis))
-			j.arrived = a.Moved
+		if r.Part == s.cfg.Name && !r.Deleted && strings.HasPrefix(r.Key, InboxSubmit) {
+			s.takeInJob(r)
 		}
-		j.kept = true
-		j.answer(nil) // the inbox row is durable, and goes only with a commit that stores the job
-		s.inboxGone[r.Key] = true
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, r := range rows {
-		if r.Part != s.cfg.Name || r.Deleted || !strings.HasPrefix(r.Key, InboxCancel) {
-			continue
-		}
-		j := s.jobs[inboxJob(r.Key)]
-		if j != nil && j.rec.Moved != nil {
-			j.cancelKey = r.Key
-			s.passCancel(j)
-			continue
+		if r.Part == s.cfg.Name && !r.Deleted && strings.HasPrefix(r.Key, InboxCancel) {
+			s.takeInCancel(r.Key)
 		}
-		if j != nil {
-			s.cancelJob(j)
-		}
-		s.inboxGone[r.Key] = true
 	}
-	if len(rows) > 0 {
-		s.kick()
+	s.kick()
+}
+
+func (s *Shard) takeInJob(r fleet.Row) {
+	var a workload.Accepted
+	if err := workload.Decode(r.Value, &a); err != nil {
+		logger.WithField("key", r.Key).WithError(err).Error("an inbox row cannot be read")
+		return
 	}
+	better := s.better(&a)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := s.jobs[a.Spec.ID]
+	if j == nil {
+		j = s.admit(a, fleet.Clock(a.AtMillis), better)
+	}
+	j.kept = true
+	j.answer(nil) // the inbox row is durable, and goes only with a commit that stores the job
+	s.inboxGone[r.Key] = true
+}
+
+// takeInCancel applies a cancellation, or has it passed on after a moved job. The
+// caller holds the lock.
+func (s *Shard) takeInCancel(key string) {
+	j := s.jobs[inboxJob(key)]
+	if j != nil && j.rec.Moved != nil {
+		j.cancelKey = key
+		s.passCancel(j)
+		return
+	}
+	if j != nil {
+		s.cancelJob(j)
+	}
+	s.inboxGone[key] = true
 }
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -90,13 +90,19 @@
 // better names the shard to which a new job goes at once, or none. It must be called
 // without the lock, as it asks the shards for their loads.
 func (s *Shard) better(a *workload.Accepted) string {
-	if s.cfg.Others == nil || a.Moved || a.Spec.Timed() {
+	if s.cfg.Others == nil || a.Moved || a.Spec.Timed() || s.knows(a.Spec.ID) {
 		return ""
 	}
 	shard, _ := s.cfg.Others.Better(&a.Spec, true)
 	return shard
 }
 
+func (s *Shard) knows(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.jobs[id] != nil
+}
+
 // mayMove reports whether j waits and has never had a run.
 func (s *Shard) mayMove(j *job, now time.Duration) bool {
 	if !j.stored || j.dirty || !j.active() || j.begun || j.arrived || j.spec.Timed() || len(j.tasks[0]) == 0 {
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -48,7 +48,8 @@
 	if st.EstimateMillis == 0 {
 		st.EstimateMillis = 500
 	}
-	return f.admit(workload.Spec{ID: id, Queue: queue, Steps: []workload.Step{st}}, f.storeNow())
+	spec := workload.Spec{ID: id, Queue: queue, Steps: []workload.Step{st}}
+	return f.admit(workload.Accepted{Spec: spec}, f.storeNow(), "")
 }
 
 // run marks every placed task as confirmed by its worker.
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -239,24 +239,26 @@
 	if a.AtMillis > 0 {
 		at = fleet.Clock(a.AtMillis)
 	}
-	j := s.admit(a.Spec, at)
-	j.arrived = a.Moved
-	if better != "" {
-		s.moveTo(j, better)
-	}
-	return s.await(ctx, j)
+	return s.await(ctx, s.admit(a, at, better))
 }
 
-// admit adds a new job. The caller holds the lock.
-func (s *Shard) admit(spec workload.Spec, at fleet.Clock) *job {
-	j := newJob(spec, at)
-	j.dirty = true
+// admit adds a new job, which goes on to another shard where one is named. The caller
+// holds the lock.
+func (s *Shard) admit(a workload.Accepted, at fleet.Clock, better string) *job {
+	spec := &a.Spec
+	j := newJob(a.Spec, at)
+	j.dirty, j.arrived = true, a.Moved
 	if !spec.Timed() {
 		j.begin(0, s.now())
 	}
 	s.jobs[spec.ID] = j
 	logger.WithField("job", spec.ID).WithField("shard", s.cfg.Name).WithField("queue", spec.Queue).
 		WithField("steps", spec.Summary()).Info("job admitted")
+	if better != "" {
+		s.moveTo(j, better)
+	} else {
+		s.loadSum.Add(spec) // the sum is renewed later, and others ask for it until then
+	}
 	return j
 }
 
--- a/internal/node/balance.go
+++ b/internal/node/balance.go
@@ -45,7 +45,7 @@
 	if shard == "" || shard == t.own {
 		return "", false
 	}
-	t.node.owners.addLoad(shard, j)
+	t.node.owners.addLoad(shard, j, len(c.loads))
 	return shard, true
 }
 
@@ -72,11 +72,14 @@
 	return err == nil, err
 }
 
-// addLoad counts a moving job to its new shard until that tells its load again.
-func (o *owners) addLoad(shard string, j *workload.Spec) {
+// addLoad counts a moving job to its new shard until that tells its load again. Jobs
+// come to all homes alike, so that each of them sends about as much in that time.
+func (o *owners) addLoad(shard string, j *workload.Spec, homes int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.shards[shard].known.Load.Add(j)
+	for range homes {
+		o.shards[shard].known.Load.Add(j)
+	}
 }
 
 // loads returns the newest known load of every shard whose owner is heard.
