--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -162,6 +162,7 @@
 			l.fail(b, err)
 			return err
 		case contract.IsConflict(err):
+			l.away.Store(nil) // a conflict is an answer, and no other commit may follow
 			return l.dropConflicting(b, err)
 		}
 		l.failing(err)
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -211,6 +211,29 @@
 	}
 }
 
+// TestConflictEndsAway: an owner decides nothing while the tables are away, so that no
+// commit may follow the one that is answered with a conflict.
+func TestConflictEndsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		l, _ := open(t, f, "a", Options{})
+		absent := []contract.Write{{Key: contract.Key{Table: "quota", Row: "x"}, If: contract.IfAbsent, Do: contract.Put}}
+		if _, err := f.apply(absent); err != nil {
+			t.Fatal(err)
+		}
+		f.faults = []fault{dropped, down}
+		e := l.Queue(recs("draw"), absent)
+		<-e.Done()
+		if _, err := e.Result(); !contract.IsConflict(err) {
+			t.Fatalf("result %v, want a conflict", err)
+		}
+		synctest.Wait()
+		if a := l.Away(); a != nil {
+			t.Errorf("away since %v: %v", a.Since, a.Err)
+		}
+	})
+}
+
 func TestAppendGivesUp(t *testing.T) {
 	tests := []struct {
 		name   string
