Shards teach each other which images disturb which

The load line of a shard also counts the serving images of its hosts.

Test: TestLessonsOfAnotherShard.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -125,7 +125,7 @@
 	s.note(b.beat.Lapses)
 	if now := s.now(); len(s.images.quiet) > 0 && now-s.bookAt > bookInterval {
 		s.bookAt = now
-		b.put(TableImages, KeyImages, s.images.row())
+		b.put(TableImages, KeyImages, s.images.lessons())
 	}
 	size, full := 0, false
 	for _, j := range s.jobs {
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -39,11 +39,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(books) > 0 {
-		var r bookRow
-		if err := workload.Decode(books[0].Value, &r); err != nil {
+		var l Lessons
+		if err := workload.Decode(books[0].Value, &l); err != nil {
 			return err
 		}
-		s.images.restore(r)
+		s.images.restore(l)
 	}
 	if len(beats) > 0 {
 		s.beatVer = beats[0].Version
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -17,6 +17,8 @@
 	Deliver(ctx context.Context, shard string, a workload.Accepted) error
 	// Cancel returns nil once the cancellation is durable, or the job is over.
 	Cancel(ctx context.Context, shard, id string) error
+	// Lessons returns what one of the other shards has learned, each in turn.
+	Lessons(ctx context.Context) (Lessons, error)
 	// Knows reports whether the shard still has the job.
 	Knows(ctx context.Context, shard, id string) (bool, error)
 }
--- a/internal/dispatch/move_test.go
+++ b/internal/dispatch/move_test.go
@@ -53,6 +53,10 @@
 	return !o.forgotten, nil
 }
 
+func (o *otherShard) Lessons(context.Context) (Lessons, error) {
+	return Lessons{}, errors.New("nothing learned")
+}
+
 // inboxRows counts the rows of the shard's inbox.
 func (w *world) inboxRows() int {
 	w.t.Helper()
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -389,3 +389,35 @@
 		t.Errorf("the lasting task is on %q, want %s", f.at(lasting, 0), freed)
 	}
 }
+
+// TestLessonsOfAnotherShard: only what is surer is adopted, and it does not go back and
+// forth.
+func TestLessonsOfAnotherShard(t *testing.T) {
+	pair := imagePair{"f", "s"}
+	for _, c := range []struct {
+		name       string
+		own, other weight
+		want       float64
+	}{
+		{"nothing known here", weight{weightMean, weightVariance}, weight{0.3, 0.1}, 0.3},
+		{"surer there", weight{2, 1}, weight{0.3, 0.1}, 0.3},
+		{"as sure as here", weight{2, 0.11}, weight{0.3, 0.1}, 2},
+		{"surer here", weight{2, 0.01}, weight{0.3, 0.1}, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			own, other := newImageBook(), newImageBook()
+			own.pairs[pair], other.pairs[pair] = c.own, c.other
+			other.quiet["s"] = 33
+			own.adopt(other.lessons())
+			if w := own.weight(pair); w.mean != c.want {
+				t.Errorf("mean %v, want %v", w.mean, c.want)
+			}
+			if own.quiet["s"] != 33 {
+				t.Error("the quiet tail was not taken over")
+			}
+			if n := other.adopt(own.lessons()); c.want == c.other.mean && n != 0 {
+				t.Error("an adopted belief went back")
+			}
+		})
+	}
+}
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -163,6 +163,7 @@
 	g.Go(func() error { return s.watchInbox(ctx) })
 	g.Go(func() error { return s.commitLoop(ctx) })
 	g.Go(func() error { return s.tick(ctx) })
+	g.Go(func() error { return s.learnFromOthers(ctx) })
 	err := g.Wait()
 	s.hostWG.Wait()
 	s.failWaiters()
--- a/internal/dispatch/sharing.go
+++ b/internal/dispatch/sharing.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -61,45 +60,6 @@
 	return weight{weightMean, weightVariance}
 }
 
-// bookInterval is how often what was learned is stored, with a commit that is
-// due anyway; a successor starts from it.
-const bookInterval = 4 * time.Second
-
-// bookRow is the stored form of an imageBook.
-type bookRow struct {
-	Quiet map[string]float64 `json:"quiet"`
-	Pairs []pairRow          `json:"pairs"`
-}
-
-type pairRow struct {
-	Fills    string  `json:"f"`
-	Serves   string  `json:"s"`
-	Mean     float64 `json:"m"`
-	Variance float64 `json:"v"`
-}
-
-// row returns the stored form.
-func (b *imageBook) row() bookRow {
-	r := bookRow{Quiet: b.quiet, Pairs: make([]pairRow, 0, len(b.pairs))}
-	for p, w := range b.pairs {
-		r.Pairs = append(r.Pairs, pairRow{p.fills, p.serves, round(w.mean), round(w.variance)})
-	}
-	return r
-}
-
-// round keeps three decimals, which is more than a weight is known to.
-func round(v float64) float64 { return math.Round(v*1000) / 1000 }
-
-// restore takes over what an earlier owner learned.
-func (b *imageBook) restore(r bookRow) {
-	for image, q := range r.Quiet {
-		b.quiet[image] = q
-	}
-	for _, p := range r.Pairs {
-		b.pairs[imagePair{p.Fills, p.Serves}] = weight{p.Mean, p.Variance}
-	}
-}
-
 // utilisation converts a tail of an image.
 func (b *imageBook) utilisation(image string, tail float64) float64 {
 	quiet, ok := b.quiet[image]
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"skylarkport/internal/workload"
@@ -23,7 +24,7 @@
 		}
 	}
 	var idleOpen, idleServing, capacity int64
-	runs, fills, served := 0, 0, 0
+	runs, fills, served, images := 0, 0, 0, 0
 	for _, h := range s.hosts {
 		if !h.takes(now) {
 			continue
@@ -42,13 +43,25 @@
 		}
 		if serves {
 			served++
+			images += h.servingImages()
 			idleServing += idle
 		} else {
 			idleOpen += idle
 		}
 	}
 	logger.WithField("shard", s.cfg.Name).WithField("waiting", waiting).WithField("waiting_fills", filling).
-		WithField("runs", runs).WithField("fills", fills).WithField("hosts_serving", served).
+		WithField("runs", runs).WithField("fills", fills).WithField("hosts_serving", served).WithField("serving_images", images).
 		WithField("idle_open_mcpu", idleOpen).WithField("idle_serving_mcpu", idleServing).
 		WithField("capacity_mcpu", capacity).Info("shard load")
 }
+
+// servingImages counts the images of the serving runs on h.
+func (h *host) servingImages() int {
+	var seen []string
+	for _, t := range h.tasks {
+		if t.serving() && !slices.Contains(seen, t.step.Image) {
+			seen = append(seen, t.step.Image)
+		}
+	}
+	return len(seen)
+}
--- a/internal/node/balance.go
+++ b/internal/node/balance.go
@@ -15,8 +15,9 @@
 // others are the other shards as the owner of one sees them. It implements
 // dispatch.Others.
 type others struct {
-	node *Node
-	own  string
+	node  *Node
+	own   string
+	asked int // shards asked for their lessons; only Lessons uses it
 }
 
 // othersOf returns the other shards of one, or nil where there is none.
@@ -63,6 +64,39 @@
 	return err
 }
 
+// Lessons implements dispatch.Others.
+func (t *others) Lessons(ctx context.Context) (dispatch.Lessons, error) {
+	shards := t.node.layout.Load().Shards()
+	t.asked++
+	shard := shards[t.asked%len(shards)]
+	if shard == t.own {
+		t.asked++
+		shard = shards[t.asked%len(shards)]
+	}
+	if t.node.owners.here(shard) != nil {
+		reply := t.node.owners.lessons(shard)
+		return reply.Lessons, reply.err()
+	}
+	own, ok := t.node.owners.of(shard)
+	if !ok {
+		return dispatch.Lessons{}, result.Errorf(result.NotOwner, "no owner of %s is known", shard)
+	}
+	var reply LessonsReply
+	if err := t.node.peers.call(ctx, own.Control, methodLessons, LessonsRequest{Shard: shard}, &reply); err != nil {
+		return dispatch.Lessons{}, err
+	}
+	return reply.Lessons, reply.err()
+}
+
+// lessons answers for a shard of this instance.
+func (o *owners) lessons(shard string) LessonsReply {
+	s := o.here(shard)
+	if s == nil {
+		return LessonsReply{Outcome: outcomeOf(result.Errorf(result.NotOwner, "shard %s", shard))}
+	}
+	return LessonsReply{Outcome: outcomeOf(nil), Lessons: s.Lessons()}
+}
+
 // Knows implements dispatch.Others.
 func (t *others) Knows(ctx context.Context, shard, id string) (bool, error) {
 	err := t.node.follow(ctx, shard, id, methodState).err()
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -15,6 +15,7 @@
 	methodCancel  = "cancel"
 	methodPending = "pending"
 	methodClaim   = "claim"
+	methodLessons = "lessons"
 )
 
 // Instance is a life of an instance, as it tells of itself.
@@ -99,6 +100,17 @@
 	Shards map[string]map[string]int `json:"shards,omitempty"`
 }
 
+// LessonsRequest asks the owner of a shard what it has learned.
+type LessonsRequest struct {
+	Shard string `json:"shard"`
+}
+
+// LessonsReply is what a shard has learned.
+type LessonsReply struct {
+	Outcome
+	Lessons dispatch.Lessons `json:"lessons,omitzero"`
+}
+
 // ClaimRequest asks an instance to take over a shard from its drained owner.
 type ClaimRequest struct {
 	Shard   string `json:"shard"`
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -348,6 +348,8 @@
 		return handleWith(r, func(m *JobRequest) JobReply { return n.cancelHere(ctx, m) })
 	case methodPending:
 		return PendingReply{Shards: n.owners.pending()}, nil
+	case methodLessons:
+		return handleWith(r, func(m *LessonsRequest) LessonsReply { return n.owners.lessons(m.Shard) })
 	case methodClaim:
 		return handleWith(r, func(m *ClaimRequest) Outcome { return outcomeOf(n.owners.claim(ctx, m)) })
 	}
