Interrupted lasting tasks start again at once; sent jobs are counted until told

Its shard held 93% of its processors for lasting tasks: jobs that were sent there were counted only until the next ping, which did not know of them yet. And the room that the task left went to short tasks, before which it ranked only after 2.5 s.

Change: a job that was sent to a shard is counted for 600 ms whatever the pings tell; a lasting task that ran before has the urgency of an overdue one and no pause after a failure.

Test: TestInterruptedLastingTaskKeepsItsRoom.

--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -101,7 +101,10 @@
 
 // taskFailed counts a failure of t and ends the job after its last attempt.
 func (s *Shard) taskFailed(t *task, h *host, now time.Duration) {
-	t.avoid, t.notBefore = h.ID, now+failedPause
+	t.avoid = h.ID
+	if !t.step.Lasting {
+		t.notBefore = now + failedPause // a lasting task needs the room that it left
+	}
 	first := t
 	if t.step.Gang {
 		first = t.job.stepTasks(t.id.Occurrence, t.id.Step)[0]
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -12,7 +12,7 @@
 
 // Urgency classes of startable tasks, the first to be placed first.
 const (
-	classOverdue  = iota // lasting, and waits for long already
+	classOverdue  = iota // lasting, and waits for long already or has run before
 	classOnTime          // its job can still end in time; it is short and soon gives its room back
 	classLasting         // users wait for it all the time
 	classLate            // its job can still end within lateFactor times its time
@@ -204,7 +204,7 @@
 	}
 	if j.spec.Steps[step].Lasting {
 		c.class = classLasting
-		if s.now()-c.first().readyAt > overdueAfter {
+		if s.now()-c.first().readyAt > overdueAfter || slices.ContainsFunc(c.tasks, (*task).interrupted) {
 			c.class = classOverdue
 		}
 		return c
@@ -226,6 +226,9 @@
 	return c
 }
 
+// interrupted reports whether a waiting task has run before.
+func (t *task) interrupted() bool { return t.Run > 0 }
+
 // defaultSlack is used for queues that are not configured any more.
 const defaultSlack = 1.5
 
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -421,3 +421,20 @@
 		})
 	}
 }
+
+// TestInterruptedLastingTaskKeepsItsRoom: a lasting task that failed starts again before
+// short tasks take the room that it left.
+func TestInterruptedLastingTaskKeepsItsRoom(t *testing.T) {
+	f := newFixture(1)
+	f.cfg.Metrics = noMetrics()
+	lasting := f.add("lasting", "short", workload.Step{Tasks: 1, Lasting: true, Needs: resource.Vector{MilliCPU: 9000, MemoryMB: 1000}})
+	f.plan(f.now)
+	f.run()
+	f.add("waiting", "short", workload.Step{Tasks: 9, Needs: resource.Vector{MilliCPU: 3000, MemoryMB: 1000}})
+	task := lasting.tasks[0][0]
+	f.applyEnds(f.hosts[task.Worker], []fleet.EndReport{{Number: 1, Task: task.name, Run: 1, Kind: fleet.EndFailed}})
+	f.plan(f.now)
+	if task.Phase != workload.Placed {
+		t.Error("the lasting task waits")
+	}
+}
--- a/internal/node/balance.go
+++ b/internal/node/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"skylarkport/internal/dispatch"
@@ -46,7 +47,7 @@
 	if shard == "" || shard == t.own {
 		return "", false
 	}
-	t.node.owners.addLoad(shard, j, len(c.loads))
+	t.node.owners.addLoad(shard, j)
 	return shard, true
 }
 
@@ -106,14 +107,35 @@
 	return err == nil, err
 }
 
-// addLoad counts a moving job to its new shard until that tells its load again. Jobs
-// come to all homes alike, so that each of them sends about as much in that time.
-func (o *owners) addLoad(shard string, j *workload.Spec, homes int) {
+// sentFor is how long a job that was sent to a shard is counted besides what the shard
+// tells: a ping interval, and the way of the job and of the ping.
+const sentFor = 600 * time.Millisecond
+
+// sentJob is a job that was sent to a shard.
+type sentJob struct {
+	job *workload.Spec
+	at  time.Time
+}
+
+// addLoad counts a moving job to its new shard until that tells of it.
+func (o *owners) addLoad(shard string, j *workload.Spec) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for range homes {
-		o.shards[shard].known.Load.Add(j)
+	own := o.shards[shard]
+	own.sent = append(own.sent, sentJob{j, time.Now()})
+}
+
+// load is the newest known load of the shard with the jobs that were sent there. Jobs
+// come to all homes alike, so that each of the homes sends about as much.
+func (own *ownership) load(homes int) dispatch.Load {
+	own.sent = slices.DeleteFunc(own.sent, func(s sentJob) bool { return time.Since(s.at) > sentFor })
+	l := own.known.Load
+	for _, s := range own.sent {
+		for range homes {
+			l.Add(s.job)
+		}
 	}
+	return l
 }
 
 // loads returns the newest known load of every shard whose owner is heard.
@@ -126,7 +148,7 @@
 	defer o.mu.Unlock()
 	for name, own := range o.shards {
 		if own.shard == nil && own.known.Epoch > 0 && time.Since(own.heard) < loadFor {
-			out[name] = own.known.Load
+			out[name] = own.load(len(o.shards))
 		}
 	}
 	return out
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -45,6 +45,7 @@
 	name     string
 	known    Owned     // newest that was heard of or read; Epoch 0 for none
 	heard    time.Time // when its owner last told of it
+	sent     []sentJob // jobs that went there of late
 	shard    *dispatch.Shard
 	version  int64         // of the owner row, while this instance owns the shard
 	stop     func()        // ends the shard
