--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -6,6 +6,7 @@
 
 	"skylarkport/internal/contract"
 	"skylarkport/internal/contract/fleet"
+	"skylarkport/internal/obs"
 	"skylarkport/internal/workload"
 )
 
@@ -77,7 +78,7 @@
 	}
 	s.cfg.Metrics.StartRejected(r)
 	logger.WithField("task", t.name).WithField("run", run).WithField("worker", h.ID).
-		WithField("result", int(r)).WithField("cause", errText(err)).Info("start was rejected")
+		WithField("result", int(r)).WithField("cause", obs.Cause(err)).Info("start was rejected")
 	if r == fleet.StartFenced && err == nil {
 		s.depose("a worker has seen a higher epoch")
 		return
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -152,7 +152,7 @@
 			continue
 		}
 		if j.spec.Steps[step].Gang {
-			if gangReady(tasks, now) {
+			if len(s.waiting(tasks, now)) == len(tasks) {
 				out = append(out, s.rank(&candidate{tasks: tasks}, j, k, step, q))
 			}
 			continue
@@ -180,16 +180,6 @@
 	return out
 }
 
-// gangReady reports whether all members wait.
-func gangReady(tasks []*task, now time.Duration) bool {
-	for _, t := range tasks {
-		if t.Phase != workload.Pending || now < t.notBefore {
-			return false
-		}
-	}
-	return true
-}
-
 // overdueAfter is how long a lasting task waits until it goes before short ones.
 // Between the ends and starts of short tasks some room is always free, and the
 // platform holds a lasting task that does not run for lost after six seconds.
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"skylarkport/internal/contract/fleet"
+	"skylarkport/internal/obs"
 	"skylarkport/internal/pause"
 	"skylarkport/internal/result"
 	"skylarkport/internal/workload"
@@ -173,17 +174,10 @@
 		err = cause
 	}
 	logger.WithField("shard", s.cfg.Name).WithField("epoch", s.cfg.Epoch).
-		WithField("cause", errText(err)).Info("shard ended")
+		WithField("cause", obs.Cause(err)).Info("shard ended")
 	return err
 }
 
-func errText(err error) string {
-	if err == nil {
-		return "none"
-	}
-	return err.Error()
-}
-
 // depose ends the shard: another instance owns it.
 func (s *Shard) depose(how string) {
 	logger.WithField("shard", s.cfg.Name).WithField("epoch", s.cfg.Epoch).WithField("how", how).Warn("shard deposed")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -156,7 +156,7 @@
 	n := New(ctx, s, connect(s), m)
 	logger.WithField("instance", s.Instance).WithField("zone", s.Zone).WithField("life", n.self.Life).Info("instance starts")
 	err = n.serve(file, m)
-	logger.WithField("instance", s.Instance).WithField("cause", errText(err)).Info("instance ends")
+	logger.WithField("instance", s.Instance).WithField("cause", obs.Cause(err)).Info("instance ends")
 	if errors.Is(err, daemon.ErrSignal) {
 		return nil
 	}
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -9,6 +9,7 @@
 	"skylarkport/internal/contract"
 	"skylarkport/internal/contract/fleet"
 	"skylarkport/internal/dispatch"
+	"skylarkport/internal/obs"
 	"skylarkport/internal/workload"
 )
 
@@ -123,20 +124,13 @@
 		res, err = o.resolveClaim(ctx, own.name, next)
 	}
 	if err != nil || !res.Applied {
-		logger.WithField("shard", own.name).WithField("error", errText(err)).Info("shard was not claimed")
+		logger.WithField("shard", own.name).WithField("applied", res.Applied).WithField("cause", obs.Cause(err)).Info("shard was not claimed")
 		return false
 	}
 	o.begin(own, next, res.Version)
 	return true
 }
 
-func errText(err error) string {
-	if err == nil {
-		return "condition failed"
-	}
-	return err.Error()
-}
-
 // resolveClaim finds out whether a claim without an answer was applied. A claim
 // that is applied later is found by the next look at the row.
 func (o *owners) resolveClaim(ctx context.Context, shard string, next ownerRow) (fleet.TxResult, error) {
--- a/internal/obs/log.go
+++ b/internal/obs/log.go
@@ -82,3 +82,12 @@
 	_, err := io.WriteString(h.w, b.String())
 	return err
 }
+
+// Cause is the text of the error that ended something, for a log's field: "none" where
+// there is no error.
+func Cause(err error) string {
+	if err == nil {
+		return "none"
+	}
+	return err.Error()
+}
