--- a/internal/node/choice.go
+++ b/internal/node/choice.go
@@ -38,9 +38,11 @@
 // forNew names the shard for a job that was just handed in. Short jobs stay: a move
 // takes as long as the wait for another one's end.
 func (c *choice) forNew(j *workload.Spec) string {
-	switch st := &j.Steps[0]; {
-	case st.Rack != "":
-		return c.withRack(st.Rack)
+	st := &j.Steps[0]
+	if name := c.withRack(st.Rack); name != "" {
+		return name
+	}
+	switch {
 	case st.Lasting && st.Image != "":
 		return cmp.Or(c.gather(st), c.least(newGain))
 	case st.Lasting:
@@ -54,8 +56,8 @@
 // forWaiting names the shard for a job that has waited for its first run.
 func (c *choice) forWaiting(j *workload.Spec) string {
 	st := &j.Steps[0]
-	if st.Rack != "" {
-		return c.withRack(st.Rack)
+	if name := c.withRack(st.Rack); name != "" {
+		return name
 	}
 	if st.Fills {
 		return c.roomiest(st, waitingGain)
@@ -74,8 +76,11 @@
 	return out
 }
 
-// withRack names the shard that holds the data.
+// withRack names the shard that holds the data, if there is one.
 func (c *choice) withRack(rack string) string {
+	if rack == "" {
+		return ""
+	}
 	for _, name := range c.usable() {
 		if slices.Contains(c.loads[name].Racks, rack) {
 			return name
--- a/internal/node/choice_test.go
+++ b/internal/node/choice_test.go
@@ -64,6 +64,7 @@
 		{"but not where others wait for it", crowded, fills, true, "s2"},
 		{"an image that is not known", roomy, workload.Step{Fills: true, Image: "new"}, true, ""},
 		{"only workers of the service", foreign, workload.Step{Lasting: true}, true, ""},
+		{"data on a rack that is gone", shards(900_000, 0), workload.Step{Rack: "r9"}, false, "s1"},
 		{"to the data, whatever the load", racks, workload.Step{Rack: "r7"}, true, "s1"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
