A shard's load is summed by steps, not by tasks

Whether a step is open was found out anew for each of its tasks, which looks at all tasks of earlier steps: at a thousand waiting tasks in steps of twenty some hundred thousand looks ten times a second. By count, not measured alone.

--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -105,21 +105,29 @@
 		}
 	}
 	for _, j := range s.jobs {
-		for k, tasks := range j.tasks {
-			for _, t := range tasks {
-				waits := t.Phase == workload.Pending && j.active() && j.open(k, t.id.Step)
-				if t.Phase == workload.Placed || waits {
-					l.Committed += t.step.Committed().MilliCPU
-				}
-				if waits && t.step.Fills {
-					l.Waiting += t.step.Needs.MilliCPU
-				}
+		for k := range j.tasks {
+			for step := range j.spec.Steps {
+				l.count(j, k, step)
 			}
 		}
 	}
 	return l
 }
 
+// count adds the tasks of a step of occurrence k.
+func (l *Load) count(j *job, k, step int) {
+	startable := j.active() && j.open(k, step)
+	for _, t := range j.stepTasks(k, step) {
+		waits := startable && t.Phase == workload.Pending
+		if waits || t.Phase == workload.Placed {
+			l.Committed += t.step.Committed().MilliCPU
+		}
+		if waits && t.step.Fills {
+			l.Waiting += t.step.Needs.MilliCPU
+		}
+	}
+}
+
 // sumRooms sums up, per filling image, what each host could give to it.
 func (s *Shard) sumRooms(now time.Duration) []ImageRoom {
 	rooms := []ImageRoom{{}}
