Images are gathered only a little above the mean load

Change: gathering stops at 0.04 above the mean and at 0.85; a lasting job that waits goes to another shard for a twentieth of difference.

--- a/internal/node/choice.go
+++ b/internal/node/choice.go
@@ -21,11 +21,11 @@
 	waitingGain = 0.15
 	// gatherSlack is how far above the mean load the gathering of an image may bring
 	// a shard. Short tasks need the rest.
-	gatherSlack = 0.08
+	gatherSlack = 0.04
 	// gatherFree is the load up to which images are gathered whatever the mean is.
 	gatherFree = 0.7
 	// gatherMost is the load above which nothing is gathered.
-	gatherMost = 0.88
+	gatherMost = 0.85
 )
 
 // choice is a choice among shards for one job, by their loads.
@@ -59,8 +59,11 @@
 	if name := c.withRack(st.Rack); name != "" {
 		return name
 	}
-	if st.Fills {
+	switch {
+	case st.Fills:
 		return c.roomiest(st, waitingGain)
+	case st.Lasting:
+		return c.least(newGain) // the room that it waits for is taken for long
 	}
 	return c.least(waitingGain)
 }
