--- a/internal/dispatch/move_test.go
+++ b/internal/dispatch/move_test.go
@@ -57,6 +57,20 @@
 	return Lessons{}, errors.New("nothing learned")
 }
 
+// got reports whether the job was delivered.
+func (o *otherShard) got(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Contains(o.jobs, id)
+}
+
+// heardOf reports whether the job was cancelled.
+func (o *otherShard) heardOf(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Contains(o.cancelled, id)
+}
+
 // inboxRows counts the rows of the shard's inbox.
 func (w *world) inboxRows() int {
 	w.t.Helper()
@@ -78,7 +92,7 @@
 		spec.Steps[0].Needs.MilliCPU = 9000 // no worker here holds it
 		w.submit(spec)
 		time.Sleep(time.Second)
-		if !slices.Contains(other.jobs, "a") {
+		if !other.got("a") {
 			t.Fatal("the job did not move")
 		}
 		f(w)
@@ -104,6 +118,8 @@
 		if n := w.workers.Starts(); n != 0 {
 			t.Errorf("%d starts at the home", n)
 		}
+		other.mu.Lock()
+		defer other.mu.Unlock()
 		if !slices.Equal(other.jobs, []string{"a"}) {
 			t.Errorf("delivered %v", other.jobs)
 		}
@@ -130,7 +146,7 @@
 				}
 				between(w)
 				time.Sleep(4 * time.Second)
-				if !slices.Contains(other.cancelled, "a") {
+				if !other.heardOf("a") {
 					t.Error("the cancellation was lost")
 				}
 				if n := w.inboxRows(); n != 0 {
