--- a/internal/node/choice.go
+++ b/internal/node/choice.go
@@ -20,11 +20,13 @@
 	// waitingGain is the same for a job that has waited.
 	waitingGain = 0.15
 	// gatherSlack is how far above the mean load the gathering of an image may bring
-	// a shard. Short tasks need the rest.
+	// a shard: the size of two jobs of fourteen tasks. Short tasks need the rest.
 	gatherSlack = 0.04
-	// gatherFree is the load up to which images are gathered whatever the mean is.
+	// gatherFree is the load up to which images are gathered whatever the mean is:
+	// with a third left, what comes next still finds room.
 	gatherFree = 0.7
-	// gatherMost is the load above which nothing is gathered.
+	// gatherMost is the load above which nothing is gathered. Tasks of a fifth of a
+	// worker leave about a seventh of it unused.
 	gatherMost = 0.85
 )
 
--- a/internal/node/layout.go
+++ b/internal/node/layout.go
@@ -170,6 +170,9 @@
 	for _, i := range instances {
 		byZone[i.Zone] = append(byZone[i.Zone], i.Cores)
 	}
+	if len(instances) == 0 {
+		return minPerShard
+	}
 	least := float64(maxPerShard) / workersPerCore
 	for _, cores := range byZone {
 		slices.Sort(cores)
