Lasting tasks leave a draining worker for a slot that is kept for them

Change: a lasting task on a draining worker is stopped only where another worker has a slot, which is kept for it; else it works on until its worker leaves.

Test: TestDrainingWorkerKeepsLastingTasksUntilThereIsRoom (fails before: stopped at the first plan).

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -46,12 +46,13 @@
 	if s.paused {
 		return
 	}
-	s.leaveDraining()
 	ready := s.candidates(now)
-	if len(ready) == 0 {
+	leaving := s.onDraining()
+	if len(ready) == 0 && len(leaving) == 0 {
 		return
 	}
 	p := s.newPass(ready, now)
+	p.leaveDraining(leaving)
 	p.gentle = true
 	p.run(ready)
 	p.gentle = false
@@ -106,19 +107,40 @@
 	}
 }
 
-// leaveDraining stops the runs on draining workers that lose little by it:
-// lasting ones, which are at work elsewhere sooner, and those with checkpoints.
-func (s *Shard) leaveDraining() {
+// onDraining returns the runs on draining workers that lose little by a stop: lasting
+// ones, which are at work elsewhere sooner, and those with checkpoints.
+func (s *Shard) onDraining() []*task {
+	var out []*task
 	for _, h := range s.hosts {
 		if !h.Draining {
 			continue
 		}
 		for _, t := range h.tasks {
 			if t.stage == stageRunning && (t.step.Lasting || t.step.Checkpoints) {
-				t.stopWanted = true
+				out = append(out, t)
 			}
 		}
 	}
+	slices.SortFunc(out, func(a, b *task) int { return cmp.Compare(a.name, b.name) })
+	return out
+}
+
+// leaveDraining stops runs on draining workers. A lasting one goes only where a slot is
+// kept for it: without one it is at work longest where it is.
+func (p *pass) leaveDraining(runs []*task) {
+	cfg := p.s.cfg.Config()
+	for _, t := range runs {
+		if !t.step.Lasting {
+			t.stopWanted = true
+			continue
+		}
+		sl := p.best(t, queueOf(cfg, t.job), p.slots, "", nil)
+		if sl == nil {
+			continue
+		}
+		sl.take(t)
+		t.stopWanted = true
+	}
 }
 
 // candidates returns the startable tasks in the order of their urgency.
--- a/internal/dispatch/shard_test.go
+++ b/internal/dispatch/shard_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"skylarkport/internal/contract/fleet"
 	"skylarkport/internal/fleetfake"
 	"skylarkport/internal/resource"
 	"skylarkport/internal/result"
@@ -272,3 +273,26 @@
 		}
 	})
 }
+
+// TestDrainingWorkerKeepsLastingTasksUntilThereIsRoom: a lasting task leaves a draining
+// worker for a slot that is kept for it, and not before there is one.
+func TestDrainingWorkerKeepsLastingTasksUntilThereIsRoom(t *testing.T) {
+	f := newFixture(2)
+	f.cfg.Metrics = noMetrics()
+	large := resource.Vector{MilliCPU: 9000, MemoryMB: 1000}
+	lasting := f.add("lasting", "short", workload.Step{Tasks: 2, Lasting: true, Needs: large})
+	f.plan(f.now)
+	f.run()
+	task, other := lasting.tasks[0][0], lasting.tasks[0][1]
+	f.hosts[task.Worker].Draining = true
+	f.plan(f.now)
+	if task.stopWanted {
+		t.Error("the task is stopped without room elsewhere")
+	}
+	f.applyEnds(f.hosts[other.Worker], []fleet.EndReport{{Number: 1, Task: other.name, Run: 1, Kind: fleet.EndStopped}})
+	other.notBefore = f.now + time.Hour
+	f.plan(f.now)
+	if !task.stopWanted {
+		t.Error("the task stays though another worker has room")
+	}
+}
