Second read of the shards' code: one piece where there were two

A shard's seat was worked out anew for every instance that its ranking looked at, and weights for every comparison: now once each. Steps sum their processors in one place; reserve and preempt share the filters but the room (suits); images served by a host are listed by one function, without a map for each price; a delivered job and its cancellation are handed on by one loop; three ways to a shard's owner are one (callOwner); only the choice that is asked for is made; lessons are asked for only where there are other shards. Behaviour as before; tests unchanged.

--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -56,12 +56,11 @@
 // Add counts a job that is on its way to the shard.
 func (l *Load) Add(j *workload.Spec) {
 	st := &j.Steps[0]
-	need := int64(st.Tasks) * st.Needs.MilliCPU
 	if st.Fills {
-		l.Waiting += need
+		l.Waiting += st.MilliCPU()
 		return
 	}
-	l.Committed += need
+	l.Committed += st.MilliCPU()
 }
 
 const (
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -382,7 +382,7 @@
 		for _, w := range b.waiters[i] {
 			w <- nil
 		}
-		s.deliverMoved(ctx, j)
+		s.deliverMoved(j)
 		if !j.dirty {
 			j.answer(nil) // callers that came while the commit was under way
 		}
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -87,8 +87,7 @@
 	sum := 0.0
 	for i := from; i < len(j.Steps); i++ {
 		st := &j.Steps[i]
-		cores := float64(st.Needs.MilliCPU) / 1000
-		sum += float64(st.Tasks) * cores * float64(d.predict(j.Queue, st.EstimateMillis))
+		sum += float64(st.MilliCPU()) / 1000 * float64(d.predict(j.Queue, st.EstimateMillis))
 	}
 	return sum
 }
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"skylarkport/internal/contract/fleet"
@@ -140,6 +141,17 @@
 	return used
 }
 
+// servingImages lists the images of the serving runs on h.
+func (h *host) servingImages() []string {
+	var out []string
+	for _, t := range h.tasks {
+		if t.serving() && !slices.Contains(out, t.step.Image) {
+			out = append(out, t.step.Image)
+		}
+	}
+	return out
+}
+
 // lastingUse is the least share of its declared processors that a lasting run
 // is taken to use.
 const lastingUse = 0.4
--- a/internal/dispatch/lessons.go
+++ b/internal/dispatch/lessons.go
@@ -91,7 +91,7 @@
 
 // learnFromOthers asks the other shards in turn until ctx ends.
 func (s *Shard) learnFromOthers(ctx context.Context) error {
-	for pause.For(ctx, lessonInterval) && s.cfg.Others != nil {
+	for pause.For(ctx, lessonInterval) {
 		tctx, cancel := context.WithTimeout(ctx, lessonTimeout)
 		l, err := s.cfg.Others.Lessons(tctx)
 		cancel()
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -114,7 +114,7 @@
 }
 
 // deliverMoved delivers the jobs whose move is durable. The caller holds the lock.
-func (s *Shard) deliverMoved(ctx context.Context, j *job) {
+func (s *Shard) deliverMoved(j *job) {
 	if j.rec.Moved == nil || j.rec.Moved.Confirmed || j.delivering || s.cfg.Others == nil {
 		return
 	}
@@ -122,16 +122,25 @@
 	j.tasks = map[int][]*task{}
 	accepted := workload.Accepted{Spec: j.spec, AtMillis: int64(j.at), Moved: true}
 	shard := j.rec.Moved.Shard
+	s.handOn(j, "job was not delivered", func(ctx context.Context) error {
+		return s.cfg.Others.Deliver(ctx, shard, accepted)
+	}, s.delivered)
+}
+
+// handOn calls f in the background until it succeeds, and then done, unless the shard
+// ends before. The caller holds the lock.
+func (s *Shard) handOn(j *job, failure string, f func(context.Context) error, done func(*job)) {
+	id, shard, ctx := j.spec.ID, j.rec.Moved.Shard, s.hostCtx
 	s.hostWG.Go(func() {
 		for ctx.Err() == nil {
 			tctx, cancel := context.WithTimeout(ctx, deliverTimeout)
-			err := s.cfg.Others.Deliver(tctx, shard, accepted)
+			err := f(tctx)
 			cancel()
 			if err == nil {
-				s.delivered(j)
+				done(j)
 				return
 			}
-			logger.WithField("job", j.spec.ID).WithField("to", shard).WithError(err).Info("job was not delivered")
+			logger.WithField("job", id).WithField("to", shard).WithError(err).Info(failure)
 			pause.For(ctx, deliverRetry)
 		}
 	})
@@ -157,19 +166,9 @@
 	}
 	j.passing = true
 	id, shard := j.spec.ID, j.rec.Moved.Shard
-	s.hostWG.Go(func() {
-		for s.hostCtx.Err() == nil {
-			ctx, cancel := context.WithTimeout(s.hostCtx, deliverTimeout)
-			err := s.cfg.Others.Cancel(ctx, shard, id)
-			cancel()
-			if err == nil {
-				s.passedCancel(j)
-				return
-			}
-			logger.WithField("job", id).WithField("to", shard).WithError(err).Info("cancellation was not passed on")
-			pause.For(s.hostCtx, deliverRetry)
-		}
-	})
+	s.handOn(j, "cancellation was not passed on", func(ctx context.Context) error {
+		return s.cfg.Others.Cancel(ctx, shard, id)
+	}, s.passedCancel)
 }
 
 // passedCancel lets the inbox row go.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -54,8 +54,9 @@
 // filter reports whether a host may ever run a task of the step.
 type filter func(t *task, q *fleet.Queue, sl *slot) bool
 
-// filters are applied in this order; all have to pass.
-var filters = []filter{serviceFits, labelFits, apartFits, roomFits}
+// filters are applied in this order; all have to pass. They judge the host whatever
+// runs on it now; roomFits is applied after them.
+var filters = []filter{serviceFits, labelFits, apartFits}
 
 // serviceFits keeps to the workers of the queue's service.
 func serviceFits(_ *task, q *fleet.Queue, sl *slot) bool {
@@ -82,7 +83,7 @@
 }
 
 // roomFits keeps to the room that is left.
-func roomFits(t *task, _ *fleet.Queue, sl *slot) bool { return t.step.Committed().Fits(sl.free) }
+func roomFits(t *task, sl *slot) bool { return t.step.Committed().Fits(sl.free) }
 
 // scorer prices a host for a task; the lowest sum wins.
 type scorer func(t *task, sl *slot, p *pass) float64
@@ -143,13 +144,13 @@
 	if sl.serves == 0 {
 		return openHost
 	}
-	others := map[string]bool{}
-	for _, o := range sl.host.tasks {
-		if o.serving() && o.step.Image != t.step.Image {
-			others[o.step.Image] = true
+	others := 0
+	for _, image := range sl.host.servingImages() {
+		if image != t.step.Image {
+			others++
 		}
 	}
-	return otherImage * float64(len(others))
+	return otherImage * float64(others)
 }
 
 const (
@@ -267,7 +268,11 @@
 	return found
 }
 
-func passes(t *task, q *fleet.Queue, sl *slot) bool {
+// passes reports whether the slot may take t now.
+func passes(t *task, q *fleet.Queue, sl *slot) bool { return suits(t, q, sl) && roomFits(t, sl) }
+
+// suits reports whether the slot may take t once it has room.
+func suits(t *task, q *fleet.Queue, sl *slot) bool {
 	for _, f := range filters {
 		if !f(t, q, sl) {
 			return false
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -35,7 +35,7 @@
 		least *= lastingWorth
 	}
 	for _, sl := range p.slots {
-		if !serviceFits(t, q, sl) || !labelFits(t, q, sl) || !apartFits(t, q, sl) {
+		if !suits(t, q, sl) {
 			continue
 		}
 		if t.step.Committed().Fits(sl.free.Add(sl.coming)) {
@@ -69,7 +69,7 @@
 func (p *pass) reserve(t *task, q *fleet.Queue) {
 	var found *slot
 	for _, sl := range p.slots {
-		if !serviceFits(t, q, sl) || !labelFits(t, q, sl) || !apartFits(t, q, sl) {
+		if !suits(t, q, sl) {
 			continue
 		}
 		if !t.step.Committed().Fits(sl.free.Add(sl.leaving())) {
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -95,7 +95,7 @@
 	images     imageBook
 	durations  durations
 	sizes      sizes
-	sizeWeight time.Duration
+	sizeWeight time.Duration // the constant, but for tests of the order
 	bookAt     time.Duration // when it was last stored
 	summarized time.Duration
 	advised    map[string]*advice
@@ -166,7 +166,9 @@
 	g.Go(func() error { return s.watchInbox(ctx) })
 	g.Go(func() error { return s.commitLoop(ctx) })
 	g.Go(func() error { return s.tick(ctx) })
-	g.Go(func() error { return s.learnFromOthers(ctx) })
+	if s.cfg.Others != nil {
+		g.Go(func() error { return s.learnFromOthers(ctx) })
+	}
 	err := g.Wait()
 	s.hostWG.Wait()
 	s.failWaiters()
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"skylarkport/internal/workload"
@@ -43,7 +42,7 @@
 		}
 		if serves {
 			served++
-			images += h.servingImages()
+			images += len(h.servingImages())
 			idleServing += idle
 		} else {
 			idleOpen += idle
@@ -54,14 +53,3 @@
 		WithField("idle_open_mcpu", idleOpen).WithField("idle_serving_mcpu", idleServing).
 		WithField("capacity_mcpu", capacity).Info("shard load")
 }
-
-// servingImages counts the images of the serving runs on h.
-func (h *host) servingImages() int {
-	var seen []string
-	for _, t := range h.tasks {
-		if t.serving() && !slices.Contains(seen, t.step.Image) {
-			seen = append(seen, t.step.Image)
-		}
-	}
-	return len(seen)
-}
--- a/internal/node/balance.go
+++ b/internal/node/balance.go
@@ -40,10 +40,11 @@
 		return "", false
 	}
 	c := choice{own: t.own, service: q.Service, loads: t.node.owners.loads()}
-	shard := c.forWaiting(j)
+	choose := c.forWaiting
 	if isNew {
-		shard = c.forNew(j)
+		choose = c.forNew
 	}
+	shard := choose(j)
 	if shard == "" || shard == t.own {
 		return "", false
 	}
@@ -78,12 +79,8 @@
 		reply := t.node.owners.lessons(shard)
 		return reply.Lessons, reply.err()
 	}
-	own, ok := t.node.owners.of(shard)
-	if !ok {
-		return dispatch.Lessons{}, result.Errorf(result.NotOwner, "no owner of %s is known", shard)
-	}
 	var reply LessonsReply
-	if err := t.node.peers.call(ctx, own.Control, methodLessons, LessonsRequest{Shard: shard}, &reply); err != nil {
+	if err := t.node.callOwner(ctx, shard, methodLessons, LessonsRequest{Shard: shard}, &reply); err != nil {
 		return dispatch.Lessons{}, err
 	}
 	return reply.Lessons, reply.err()
--- a/internal/node/choice.go
+++ b/internal/node/choice.go
@@ -111,7 +111,7 @@
 	if capacity == 0 {
 		return ""
 	}
-	need := needs(st)
+	need := st.MilliCPU()
 	limit := min(gatherMost, max(gatherFree, float64(committed+need)/float64(capacity)+gatherSlack))
 	for _, name := range names {
 		if l := c.loads[name]; l.Share(need) <= limit {
@@ -149,6 +149,3 @@
 	}
 	return best
 }
-
-// needs is what the tasks of a step take together, in thousandths of a core.
-func needs(st *workload.Step) int64 { return int64(st.Tasks) * st.Needs.MilliCPU }
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -111,17 +111,22 @@
 	if n.owners.here(shard) != nil {
 		return n.submitHere(ctx, &req)
 	}
-	own, ok := n.owners.of(shard)
-	if !ok {
-		return result.Errorf(result.NotOwner, "no owner of %s is known", shard)
-	}
 	var out Outcome
-	if err := n.peers.call(ctx, own.Control, methodSubmit, req, &out); err != nil {
+	if err := n.callOwner(ctx, shard, methodSubmit, req, &out); err != nil {
 		return err
 	}
 	return out.err()
 }
 
+// callOwner calls a method of the instance that is known to own a shard.
+func (n *Node) callOwner(ctx context.Context, shard, method string, in, out any) error {
+	own, ok := n.owners.of(shard)
+	if !ok {
+		return result.Errorf(result.NotOwner, "no owner of %s is known", shard)
+	}
+	return n.peers.call(ctx, own.Control, method, in, out)
+}
+
 // submitHere takes a job into a shard of this instance.
 func (n *Node) submitHere(ctx context.Context, r *SubmitRequest) error {
 	s := n.owners.here(r.Shard)
@@ -226,13 +231,9 @@
 		}
 		return n.stateHere(ctx, &req)
 	}
-	own, ok := n.owners.of(shard)
-	if !ok {
-		return JobReply{Outcome: Outcome{Code: result.NotOwner, Detail: "no owner is known"}}
-	}
 	var out JobReply
-	if err := n.peers.call(ctx, own.Control, method, req, &out); err != nil {
-		return JobReply{Outcome: outcomeOf(err)}
+	if err := n.callOwner(ctx, shard, method, req, &out); err != nil {
+		return replyOf(err)
 	}
 	return out
 }
--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -23,16 +23,21 @@
 func (l *Layout) Rank(shard string, instances []Instance) []Instance {
 	zone := l.ZoneOf(shard)
 	strong := strongOf(instances)
+	weights := make(map[string]uint64, len(instances))
+	for _, i := range instances {
+		weights[i.Name] = weight(shard, i)
+	}
 	ranked := slices.Clone(instances)
 	slices.SortFunc(ranked, func(a, b Instance) int {
 		return cmp.Or(
 			before(strong[a.Name], strong[b.Name]),
 			before(a.Zone == zone, b.Zone == zone),
-			cmp.Compare(weight(shard, a), weight(shard, b)),
+			cmp.Compare(weights[a.Name], weights[b.Name]),
 			cmp.Compare(a.Name, b.Name),
 		)
 	})
-	first := slices.IndexFunc(ranked, func(i Instance) bool { return i.Name == l.seat(shard, zone, ranked, strong) })
+	seat := l.seat(shard, zone, ranked, strong)
+	first := slices.IndexFunc(ranked, func(i Instance) bool { return i.Name == seat })
 	if first > 0 {
 		i := ranked[first]
 		ranked = slices.Insert(slices.Delete(ranked, first, first+1), 0, i)
--- a/internal/workload/spec.go
+++ b/internal/workload/spec.go
@@ -46,6 +46,9 @@
 	return v
 }
 
+// MilliCPU is what all tasks of the step need together, in thousandths of a core.
+func (s *Step) MilliCPU() int64 { return int64(s.Tasks) * s.Needs.MilliCPU }
+
 // Schedule repeats a job's steps at fixed times. The zero value runs them once,
 // at once.
 type Schedule struct {
