dispatch, node: logs and metrics that tell why a long-running task waits

Change: the wait line has the reason that the last plan found, the workers that fit by CPU and by memory, and the load of each shard that was not asked, once for each job; the load line has the committed, long-running and preemptible CPU, the largest free capacity of one worker and the longest wait; stops for a drain are logged with those that are kept. No decision is changed.

--- a/internal/dispatch/borrow.go
+++ b/internal/dispatch/borrow.go
@@ -63,7 +63,7 @@
 			continue
 		}
 		j.record.Moved, j.dirty, returned = &workload.Moved{Shard: j.loan.Lender}, true, true
-		s.logWait(t, now)
+		s.logWait(t, "borrowed", now)
 	}
 	return returned
 }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -38,6 +38,7 @@
 	dirty            bool            // the progress differs from the stored row
 	hasRun           bool            // a run has been seen at some time
 	waiters          []chan<- error  // callers that wait for the next commit
+	waitLoggedAt     time.Duration   // when the wait of its tasks was last logged
 	loan             *workload.Loan  // set if the job is a task that another shard has lent to this one
 }
 
@@ -72,7 +73,7 @@
 	loan            loanState     // used while the task is lent
 	lendAt          time.Duration // not lent before then
 	refusedBy       []string      // shards that returned the task without running it
-	waitLoggedAt    time.Duration // when its wait was last logged
+	waitReason      waitReason    // why the last plan did not place it
 }
 
 // newJob returns a queued job without tasks.
--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -63,11 +63,11 @@
 	lent := false
 	for _, o := range s.loanOffers(now) {
 		// Called without the lock: it takes the locks of shards to read their loads.
-		shard, ok := s.cfg.OtherShards.Borrower(&o.spec, o.refusedBy)
-		if ok {
+		shard, why := s.cfg.OtherShards.Borrower(&o.spec, o.refusedBy)
+		if shard != "" {
 			lent = s.lend(o.task, shard, now) || lent
 		} else {
-			s.keepWaiting(o.task, now)
+			s.keepWaiting(o.task, why, now)
 		}
 	}
 	return lent
@@ -146,14 +146,14 @@
 	return true
 }
 
-// keepWaiting records that no shard has capacity for t. Shards that returned it are asked
-// again later.
-func (s *Shard) keepWaiting(t *task, now time.Duration) {
+// keepWaiting records that no shard has capacity for t, and why. Shards that returned it are
+// asked again later.
+func (s *Shard) keepWaiting(t *task, why string, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.mayLend(t, now) {
 		t.refusedBy, t.lendAt = nil, now+lendRetry
-		s.logWait(t, now)
+		s.logWait(t, why, now)
 	}
 }
 
@@ -261,26 +261,3 @@
 	t.pendingSince -= lendAfter
 	logger.WithField("task", t.name).WithField("shard", s.cfg.Name).WithField("run", t.Run).Info("loan returned")
 }
-
-// waitLogInterval is how often a waiting long-running task is logged.
-const waitLogInterval = 2 * time.Second
-
-// logWait logs what a long-running task waits for, while no shard has capacity for it.
-func (s *Shard) logWait(t *task, now time.Duration) {
-	if now-t.waitLoggedAt < waitLogInterval {
-		return
-	}
-	t.waitLoggedAt = now
-	q := queueOf(s.cfg.Config(), t.job)
-	eligible, fitting := 0, 0
-	for _, sl := range s.slots(now) {
-		if isEligible(t, q, sl) {
-			eligible++
-			if capacityFits(t, sl) {
-				fitting++
-			}
-		}
-	}
-	logger.WithField("task", t.name).WithField("shard", s.cfg.Name).WithField("waited", (now-t.pendingSince).String()).
-		WithField("eligible_workers", eligible).WithField("fitting_workers", fitting).Info("long-running task waits for capacity")
-}
--- a/internal/dispatch/lend_test.go
+++ b/internal/dispatch/lend_test.go
@@ -131,13 +131,13 @@
 	return InterferenceEstimates{}, errors.New("no estimates")
 }
 
-func (v *view) Borrower(_ *workload.Spec, refusedBy []string) (string, bool) {
+func (v *view) Borrower(_ *workload.Spec, refusedBy []string) (shard, why string) {
 	for _, name := range v.net.names {
 		if name != v.own && !slices.Contains(refusedBy, name) {
-			return name, true
+			return name, ""
 		}
 	}
-	return "", false
+	return "", "all shards returned it"
 }
 
 func (v *view) Lend(ctx context.Context, shard string, a workload.Accepted) error {
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -27,8 +27,8 @@
 	// HasJob reports whether the shard still has the job.
 	HasJob(ctx context.Context, shard, id string) (bool, error)
 	// Borrower names a shard, none of refusedBy, that probably has capacity for the lent
-	// task that spec describes, if there is one.
-	Borrower(spec *workload.Spec, refusedBy []string) (shard string, ok bool)
+	// task that spec describes, or returns "" and why there is none.
+	Borrower(spec *workload.Spec, refusedBy []string) (shard, why string)
 	// Lend hands a loan over. It returns nil once the borrower has stored it, and an error
 	// with the code LoanBad if the borrower has not stored it and never will.
 	Lend(ctx context.Context, shard string, a workload.Accepted) error
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -217,6 +217,9 @@
 		p.placeWithCPULimit(c.first(), q)
 		return
 	}
+	for _, t := range c.tasks {
+		t.waitReason = waitBehind
+	}
 	for _, t := range c.tasks {
 		if t.Phase != workload.Pending {
 			continue // placed by the low-interference pass
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -135,6 +135,7 @@
 // this pass. Otherwise the stop would leave the task without a run until a slot is free.
 func (p *planPass) migrateFromDraining(runs []*task) {
 	cfg := p.s.cfg.Config()
+	stopped, kept := 0, 0
 	for _, t := range runs {
 		if !t.step.LongRunning {
 			t.stopWanted = true
@@ -142,11 +143,19 @@
 		}
 		sl := p.bestSlot(t, queueOf(cfg, t.job), p.slots, "", nil)
 		if sl == nil {
+			kept++
 			continue
 		}
 		sl.reserve(t)
+		if !t.stopWanted {
+			stopped++
+		}
 		t.stopWanted = true
 	}
+	if stopped > 0 {
+		logger.WithField("shard", p.s.cfg.Name).WithField("stopped", stopped).WithField("kept", kept).
+			WithField("waiting_long_running", p.s.longRunningWaits(p.now).count).Info("stopping long-running tasks on draining workers")
+	}
 }
 
 // candidates returns the startable tasks, ordered by the priority of their queue, their
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -22,6 +22,7 @@
 // discards the least work, if that is within the allowed waste.
 func (p *planPass) preempt(c *candidate, t *task, q *fleet.Queue) {
 	s, now := p.s, p.now
+	t.waitReason = waitNoVictims
 	if c.class > classLongRunning {
 		return
 	}
@@ -44,6 +45,7 @@
 		}
 		if t.step.Committed().Fits(sl.free.Add(sl.releasing)) {
 			sl.free = sl.free.Sub(t.step.Committed()) // t waits for the runs that are being stopped
+			t.waitReason = waitRelease
 			return
 		}
 		if vs, waste := s.victims(t, q.Priority, sl, now); vs != nil && waste < leastWaste {
@@ -61,6 +63,7 @@
 		target.releasing = target.releasing.Add(v.step.Committed())
 		s.sendStopIfDue(v, target.host, now)
 	}
+	t.waitReason = waitRelease
 	s.cfg.Metrics.Preempted(len(victims))
 	logger.WithField("task", t.name).WithField("worker", target.host.ID).WithField("victims", len(victims)).
 		WithField("waste_core_ms", int(leastWaste/1000)).Debug("preempting runs of lower priority")
@@ -86,6 +89,7 @@
 	}
 	if found != nil {
 		found.free = found.free.Sub(t.step.Committed())
+		t.waitReason = waitReserved
 	}
 }
 
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"skylarkport/internal/resource"
 	"skylarkport/internal/workload"
 )
 
@@ -23,14 +24,19 @@
 			waitingBackfills += len(c.tasks)
 		}
 	}
+	waits := s.longRunningWaits(now)
+	s.cfg.Metrics.LongRunningWaiting(waits.count, waits.longest)
 	var idleWithoutServices, idleWithServices, capacity int64
 	runs, backfills, serviceHosts, images := 0, 0, 0, 0
+	var maxFree resource.Vector
+	var longRunning, batch int64
 	for _, h := range s.hosts {
 		if !h.acceptsRuns(now) {
 			continue
 		}
 		idle := h.Capacity.MilliCPU - h.usedCPU()
 		capacity += h.Capacity.MilliCPU
+		maxFree = largest(maxFree, h.free())
 		hasService := false
 		for _, t := range h.tasks {
 			hasService = hasService || t.isService()
@@ -40,6 +46,12 @@
 			if t.Phase == workload.Placed {
 				runs++
 			}
+			switch q := queueOf(s.cfg.Config(), t.job); {
+			case t.step.LongRunning:
+				longRunning += t.step.Committed().MilliCPU
+			case q != nil && q.Priority > 0:
+				batch += t.step.Committed().MilliCPU
+			}
 		}
 		if hasService {
 			serviceHosts++
@@ -52,5 +64,8 @@
 	logger.WithField("shard", s.cfg.Name).WithField("waiting", waiting).WithField("waiting_fills", waitingBackfills).
 		WithField("runs", runs).WithField("fills", backfills).WithField("hosts_serving", serviceHosts).WithField("serving_images", images).
 		WithField("idle_open_mcpu", idleWithoutServices).WithField("idle_serving_mcpu", idleWithServices).
-		WithField("capacity_mcpu", capacity).Info("shard load")
+		WithField("capacity_mcpu", capacity).WithField("committed_mcpu", s.computeLoad().Committed).
+		WithField("long_running_mcpu", longRunning).WithField("preemptible_mcpu", batch).
+		WithField("max_free_mcpu", maxFree.MilliCPU).WithField("max_free_mb", maxFree.MemoryMB).
+		WithField("waiting_long_running", waits.count).WithField("longest_wait_ms", waits.longest.Milliseconds()).Info("shard load")
 }
--- a/internal/node/balance.go
+++ b/internal/node/balance.go
@@ -62,17 +62,20 @@
 }
 
 // Borrower implements dispatch.OtherShards.
-func (o *otherShards) Borrower(spec *workload.Spec, refusedBy []string) (string, bool) {
+func (o *otherShards) Borrower(spec *workload.Spec, refusedBy []string) (shard, why string) {
 	c := o.selector(spec)
-	if c == nil || !o.node.peers.allKnowLoans() {
-		return "", false
+	if c == nil {
+		return "", "queue not configured"
+	}
+	if name := o.node.peers.withoutLoans(); name != "" {
+		return "", "instance " + name + " knows no loans"
 	}
-	shard := c.borrower(&spec.Steps[0], refusedBy)
+	shard = c.borrower(&spec.Steps[0], refusedBy)
 	if shard == "" {
-		return "", false
+		return "", c.describeLoads(&spec.Steps[0], refusedBy)
 	}
 	o.node.owners.addLoad(shard, spec)
-	return shard, true
+	return shard, ""
 }
 
 // Lend implements dispatch.OtherShards. A loan is stored only by the borrower's owner and
--- a/internal/node/choice.go
+++ b/internal/node/choice.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"math"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -164,6 +166,24 @@
 	return best
 }
 
+// describeLoads lists the other shards of the service with the load that a task of the step
+// would bring them to, for the log. The loads of shards that are not listed are too old.
+func (c *shardSelector) describeLoads(st *workload.Step, refusedBy []string) string {
+	var out []string
+	for _, name := range c.shardsWithService() {
+		if name == c.own {
+			continue
+		}
+		l := c.loads[name]
+		entry := fmt.Sprintf("%s %.3f", name, l.Utilisation(st.MilliCPU()))
+		if slices.Contains(refusedBy, name) {
+			entry += " returned it"
+		}
+		out = append(out, entry)
+	}
+	return strings.Join(out, ", ")
+}
+
 // mostBackfillCapacity returns the shard with the most free capacity for a backfill
 // image if that exceeds the own shard's by more than gain times the own capacity, or "".
 func (c *shardSelector) mostBackfillCapacity(st *workload.Step, gain float64) string {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -123,16 +123,16 @@
 	return pr.storeOK, pr.leaving, time.Since(pr.aliveSince), true
 }
 
-// allKnowLoans reports whether all live peers know lent tasks.
-func (p *peers) allKnowLoans() bool {
+// withoutLoans names a live peer that does not know lent tasks, or returns "".
+func (p *peers) withoutLoans() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, pr := range p.byName {
+	for name, pr := range p.byName {
 		if pr.aliveLocked() && !pr.Loans {
-			return false
+			return name
 		}
 	}
-	return true
+	return ""
 }
 
 // aliveLocked reports whether the peer has sent a message within aliveTimeout. The caller
