dispatch: the choice of a borrower is a pure function beside the loads that it reads

The tests of loans have to play the choice by real loads, which only package node could. Moved without a change of behaviour; the tests of both packages pass.

--- a/internal/dispatch/lend_test.go
+++ b/internal/dispatch/lend_test.go
@@ -23,6 +23,7 @@
 type shardNet struct {
 	names  []string
 	shards map[string]*testCluster
+	byLoad bool // whether borrowers are chosen by the loads of the shards; else the first is chosen
 
 	mu    sync.Mutex
 	fault func(method, from, to string) fleetfake.Fault
@@ -131,13 +132,21 @@
 	return InterferenceEstimates{}, errors.New("no estimates")
 }
 
-func (v *view) Borrower(_ *workload.Spec, refusedBy []string) (shard, why string) {
-	for _, name := range v.net.names {
-		if name != v.own && !slices.Contains(refusedBy, name) {
-			return name, ""
-		}
+func (v *view) Borrower(spec *workload.Spec, refusedBy []string) (shard, why string) {
+	names := slices.DeleteFunc(slices.Clone(v.net.names), func(name string) bool {
+		return name == v.own || slices.Contains(refusedBy, name)
+	})
+	if len(names) == 0 {
+		return "", "all shards returned it"
+	}
+	if !v.net.byLoad {
+		return names[0], ""
+	}
+	loads := map[string]Load{}
+	for _, name := range names {
+		loads[name] = v.net.shards[name].shard().Load()
 	}
-	return "", "all shards returned it"
+	return ChooseBorrower(&spec.Steps[0], loads, names), "loads"
 }
 
 func (v *view) Lend(ctx context.Context, shard string, a workload.Accepted) error {
--- a/internal/node/choice.go
+++ b/internal/node/choice.go
@@ -34,9 +34,6 @@
 	// that need a fifth of a worker leave about a seventh of it unused, so that a
 	// shard is practically full at this load.
 	consolidationMaxLoad = 0.85
-	// maxBorrowerLoad is the load up to which a shard is lent single tasks. Above it,
-	// a free worker for the task is unlikely.
-	maxBorrowerLoad = 0.95
 )
 
 // shardSelector selects a shard for one job by the loads of all shards.
@@ -151,19 +148,13 @@
 	return best
 }
 
-// borrower returns the least loaded other shard, none of refusedBy, that probably has
-// capacity for a task of the step, or "".
+// borrower returns the other shard, none of refusedBy, that should run a long-running task of
+// the step, or "".
 func (c *shardSelector) borrower(st *workload.Step, refusedBy []string) string {
-	best, leastLoad := "", maxBorrowerLoad
-	for _, name := range c.shardsWithService() {
-		if name == c.own || slices.Contains(refusedBy, name) {
-			continue
-		}
-		if l := c.loads[name]; l.Utilisation(st.MilliCPU()) <= leastLoad {
-			best, leastLoad = name, l.Utilisation(st.MilliCPU())
-		}
-	}
-	return best
+	names := slices.DeleteFunc(c.shardsWithService(), func(name string) bool {
+		return name == c.own || slices.Contains(refusedBy, name)
+	})
+	return dispatch.ChooseBorrower(st, c.loads, names)
 }
 
 // describeLoads lists the other shards of the service with the load that a task of the step
