--- /dev/null
+++ b/internal/dispatch/long_running_test.go
@@ -0,0 +1,86 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"skylarkport/internal/workload"
+)
+
+// longRunningJob returns a job of n long-running tasks of the given size.
+func longRunningJob(id string, n int, milliCPU int64) workload.Spec {
+	spec := jobWithSteps(id, "short", n)
+	spec.Steps[0].LongRunning = true
+	spec.Steps[0].Needs.MilliCPU = milliCPU
+	return spec
+}
+
+// Draining workers whose tasks fit nowhere keep running them; a stop would only end them sooner.
+func TestDrainStopsNoMoreTasksThanFitElsewhere(t *testing.T) {
+	withCluster(t, 4, func(tc *testCluster) {
+		tc.workers.SetDuration(func(string) time.Duration { return time.Hour })
+		tc.waitForWorkers()
+		spec := longRunningJob("aa", 7, 4000)
+		tc.submit(spec)
+		tc.awaitRuns(spec.ID, 7, time.Second)
+		drained := 0
+		for _, id := range []string{"w00", "w01", "w02", "w03"} {
+			if tc.workers.RunningOn(id) == 2 && drained < 2 {
+				tc.workers.Drain(id)
+				drained++
+			}
+		}
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			if n := tc.workers.Running(spec.ID); n < 6 {
+				t.Fatalf("%d of 7 tasks run, want at least 6: one worker is free for one task", n)
+			}
+		}
+		if n := tc.workers.Running(spec.ID); n != 7 {
+			t.Errorf("%d of 7 tasks run, want all", n)
+		}
+	})
+}
+
+// A queue of tasks that fit nowhere does not use the capacity that a lent task needs.
+func TestLostWorkerBesideShardWithQueue(t *testing.T) {
+	withShards(t, []int{2, 2}, func(net *shardNet) {
+		net.byLoad = true
+		a, b := net.shards["a"], net.shards["b"]
+		half := longRunningJob("bb", 2, 4000)
+		half.Steps[0].MaxPerWorker = 1
+		b.submit(half)
+		b.awaitRuns(half.ID, 2, time.Second)
+		queued := jobWithSteps("cc", "short", 6)
+		queued.Steps[0].Needs.MilliCPU = 5000
+		b.submit(queued)
+		full := longRunningJob("aa", 4, 4000)
+		a.submit(full)
+		a.awaitRuns(full.ID, 4, time.Second)
+		a.workers.Kill("a00")
+		a.awaitRuns(full.ID, 4, lostAfter)
+	})
+}
+
+// Short tasks keep a shard busy all the time, but its workers are free again within seconds.
+func TestLostWorkerBesideShardWithShortTasks(t *testing.T) {
+	withShards(t, []int{2, 2}, func(net *shardNet) {
+		net.byLoad = true
+		a, b := net.shards["a"], net.shards["b"]
+		a.workers.SetDuration(func(task string) time.Duration {
+			if id, err := workload.ParseTaskID(task); err == nil && id.Job == "aa" {
+				return time.Hour
+			}
+			return 500 * time.Millisecond
+		})
+		full := longRunningJob("aa", 4, 4000)
+		a.submit(full)
+		a.awaitRuns(full.ID, 4, time.Second)
+		for i := range 20 {
+			b.submit(jobWithSteps(fmt.Sprintf("b%02d", i), "short", 30))
+		}
+		a.workers.Kill("a00")
+		a.awaitRuns(full.ID, 4, lostAfter)
+	})
+}
