dispatch: a drain stops no more long-running tasks than workers are free for

Callers saw: long-running tasks on draining workers were stopped, all 142 within six seconds though the shard had workers for about 30, and up to 113 of them had no run for up to 22 s. Cause: each planning pass first reserves slots for the runs that still work on draining workers, and stops those that get one. A task that was stopped in an earlier pass waits by then, is placed only afterwards, and finds its slot reserved for the next run, which is stopped as well, and so on until none is left to stop. Runs whose stop is on its way were also sorted among the others, so that their slots went to runs with smaller names. Ruled out: stops that do not end and capacity that is being released (no task waited for either). Change: interrupted long-running tasks are placed before slots are reserved for runs on draining workers, and runs that are being stopped reserve theirs first. Conclusion: the runs go on until their worker leaves.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -54,6 +54,9 @@
 		return
 	}
 	p := s.newPlanPass(startable, now)
+	// Tasks that a drain has interrupted come before the runs that a stop would interrupt.
+	interrupted, startable := splitInterrupted(startable)
+	p.placeAll(interrupted)
 	p.migrateFromDraining(migrating)
 	p.lowInterferenceOnly = true
 	p.placeAll(startable)
@@ -62,6 +65,19 @@
 	p.placeAll(slices.DeleteFunc(startable, func(c *candidate) bool { return !c.step().Backfill }))
 }
 
+// splitInterrupted separates the candidates with long-running tasks that have run before from
+// the others.
+func splitInterrupted(startable []*candidate) (interrupted, others []*candidate) {
+	for _, c := range startable {
+		if c.step().LongRunning && slices.ContainsFunc(c.tasks, (*task).interrupted) {
+			interrupted = append(interrupted, c)
+		} else {
+			others = append(others, c)
+		}
+	}
+	return interrupted, others
+}
+
 // placeAll places the candidates in their order.
 func (p *planPass) placeAll(startable []*candidate) {
 	cfg := p.s.cfg.Config()
@@ -114,6 +130,7 @@
 
 // runsToMigrate returns the runs on draining workers that lose little by a stop:
 // long-running ones, which are back at work sooner elsewhere, and those with checkpoints.
+// Runs that are being stopped come first, so that they keep the slots reserved for them.
 func (s *Shard) runsToMigrate() []*task {
 	var out []*task
 	for _, h := range s.hosts {
@@ -127,7 +144,12 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *task) int { return cmp.Compare(a.name, b.name) })
-	return out
+	return slices.Concat(filterTasks(out, true), filterTasks(out, false))
+}
+
+// filterTasks returns the tasks whose run is being stopped, or the others.
+func filterTasks(tasks []*task, stopWanted bool) []*task {
+	return slices.DeleteFunc(slices.Clone(tasks), func(t *task) bool { return t.stopWanted != stopWanted })
 }
 
 // migrateFromDraining stops runs on draining workers, so that they continue elsewhere. A
