dispatch, node: a lent task goes to a shard that has a worker for it

Cause: a shard was lent a task only while its load was at most 0.95, and that load counts all tasks that wait there. In a fleet with 92% of its CPU reserved by long-running tasks every shard is above that, and later two of them stayed at exactly 0.950, so for 15 s nothing was lent although single workers had room. Ruled out by the new log lines: loans disabled by an instance without them, loads too old to be used, memory (CPU binds in every line), stops that do not end. Change: owners report their eight workers with the most free CPU, and the same without the runs that end by themselves. The choice goes by them; the load of the shard only ranks those that have a worker. A shard whose workers are held by short runs is taken only if the own shard has no such worker, and no long-running task waits there. Loads of earlier versions are judged as before. A task that was sent counts once, not once for each home shard. Conclusion: the class of fault is a decision by an aggregate that contains its own queue.

--- a/internal/dispatch/borrower.go
+++ b/internal/dispatch/borrower.go
@@ -1,19 +1,86 @@
 package dispatch
 
-import "skylarkport/internal/workload"
+import (
+	"cmp"
+	"slices"
 
-// maxBorrowerLoad is the load up to which a shard is lent single tasks. Above it, a free worker
-// for the task is unlikely.
+	"skylarkport/internal/resource"
+	"skylarkport/internal/workload"
+)
+
+// maxBorrowerLoad is the load up to which a shard is lent single tasks if it does not list its
+// free workers, as instances of earlier versions do not.
 const maxBorrowerLoad = 0.95
 
 // ChooseBorrower returns the named shard that should run one long-running task of the step,
-// which finds no worker in its own shard, or "" if none probably has capacity for it.
-func ChooseBorrower(st *workload.Step, loads map[string]Load, names []string) string {
-	best, leastLoad := "", maxBorrowerLoad
+// which finds no worker in its own shard, or "" if none probably has a worker for it.
+//
+// It answers the load of a fleet in which most capacity is held by long-running tasks: the load
+// of a whole shard tells little then, as the tasks in its queue count and a single worker may be
+// free all the same. A shard with a free worker is taken first. If the own shard has no worker
+// on which the task fits even once all short runs have ended, a shard that has one is taken.
+func ChooseBorrower(st *workload.Step, own *Load, loads map[string]Load, names []string) string {
+	need := st.Committed()
+	if name := leastLoaded(loads, names, func(l *Load) bool { return fitsListed(l.FreeWorkers, need) }); name != "" {
+		return name
+	}
+	return leastLoaded(loads, names, func(l *Load) bool {
+		if len(l.SpareWorkers) == 0 {
+			return l.Utilisation(need.MilliCPU) <= maxBorrowerLoad
+		}
+		return l.WaitingLongRunning == 0 && fitsListed(l.SpareWorkers, need) && !fitsListed(own.SpareWorkers, need)
+	})
+}
+
+// leastLoaded returns the named shard with the lowest load among those that pass the filter, or
+// "".
+func leastLoaded(loads map[string]Load, names []string, filter func(*Load) bool) string {
+	best, least := "", noCapacityUtilisation
 	for _, name := range names {
-		if l := loads[name]; l.Utilisation(st.MilliCPU()) <= leastLoad {
-			best, leastLoad = name, l.Utilisation(st.MilliCPU())
+		l := loads[name]
+		if u := l.Utilisation(0); u < least && filter(&l) {
+			best, least = name, u
 		}
 	}
 	return best
 }
+
+// vector returns c as a vector.
+func (c WorkerCapacity) vector() resource.Vector {
+	return resource.Vector{MilliCPU: c.MilliCPU, MemoryMB: c.MemoryMB, Accelerators: c.Accelerators}
+}
+
+// workerCapacity returns v as an entry of a list of workers.
+func workerCapacity(v resource.Vector) WorkerCapacity {
+	return WorkerCapacity{v.MilliCPU, v.MemoryMB, v.Accelerators}
+}
+
+// fitsListed reports whether need fits on a listed worker.
+func fitsListed(workers []WorkerCapacity, need resource.Vector) bool {
+	return slices.ContainsFunc(workers, func(c WorkerCapacity) bool { return need.Fits(c.vector()) })
+}
+
+// listWorker adds a worker's capacity to the list, which keeps the maxListedWorkers entries with
+// the most CPU, largest first.
+func listWorker(workers []WorkerCapacity, capacity resource.Vector) []WorkerCapacity {
+	c := workerCapacity(capacity)
+	i, _ := slices.BinarySearchFunc(workers, c, func(a, b WorkerCapacity) int { return cmp.Compare(b.MilliCPU, a.MilliCPU) })
+	if i == maxListedWorkers {
+		return workers
+	}
+	workers = slices.Insert(workers, i, c)
+	return workers[:min(len(workers), maxListedWorkers)]
+}
+
+// reserveListed returns the list with need taken from the last worker on which it fits. The
+// argument, which other loads may share, is not changed.
+func reserveListed(workers []WorkerCapacity, need resource.Vector) []WorkerCapacity {
+	for i := len(workers) - 1; i >= 0; i-- {
+		if c := workers[i].vector(); need.Fits(c) {
+			workers = slices.Clone(workers)
+			workers[i] = workerCapacity(c.Sub(need))
+			return workers
+		}
+	}
+	return workers
+}
--- /dev/null
+++ b/internal/dispatch/borrower_test.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"slices"
+	"testing"
+
+	"skylarkport/internal/resource"
+	"skylarkport/internal/workload"
+)
+
+// shardLoad returns the load of a shard of ten workers of 64 cores. The pairs are the CPU that
+// is free on its workers, and the CPU that is free there once all short runs have ended.
+func shardLoad(committed int64, workers ...[2]int64) Load {
+	l := Load{Capacity: 640_000, Committed: committed}
+	for _, w := range workers {
+		l.FreeWorkers = listWorker(l.FreeWorkers, resource.Vector{MilliCPU: w[0], MemoryMB: 100_000})
+		l.SpareWorkers = listWorker(l.SpareWorkers, resource.Vector{MilliCPU: w[1], MemoryMB: 100_000})
+	}
+	return l
+}
+
+func TestChooseBorrower(t *testing.T) {
+	full := shardLoad(640_000, [2]int64{0, 0})
+	waiting := shardLoad(600_000, [2]int64{0, 30_000})
+	waiting.WaitingLongRunning = 1
+	littleMemory := shardLoad(600_000)
+	littleMemory.FreeWorkers = []WorkerCapacity{{MilliCPU: 30_000, MemoryMB: 100}}
+	littleMemory.SpareWorkers = littleMemory.FreeWorkers
+	for _, c := range []struct {
+		name  string
+		own   Load
+		loads map[string]Load
+		want  string
+	}{
+		{"free worker in a shard with a queue", full, map[string]Load{"a": shardLoad(800_000, [2]int64{16_000, 16_000}), "b": full}, "a"},
+		{"less loaded of two with a free worker", full, map[string]Load{"a": shardLoad(800_000, [2]int64{16_000, 16_000}), "b": shardLoad(700_000, [2]int64{13_000, 13_000})}, "b"},
+		{"free worker before a less loaded shard with short runs", full, map[string]Load{"a": shardLoad(640_000, [2]int64{16_000, 16_000}), "b": shardLoad(500_000, [2]int64{0, 64_000})}, "a"},
+		{"short runs in another shard", full, map[string]Load{"a": shardLoad(900_000, [2]int64{0, 30_000}), "b": full}, "a"},
+		{"short runs in the own shard too", shardLoad(900_000, [2]int64{0, 20_000}), map[string]Load{"a": shardLoad(900_000, [2]int64{0, 30_000})}, ""},
+		{"short runs where long-running tasks wait already", full, map[string]Load{"a": waiting}, ""},
+		{"no worker is large enough", full, map[string]Load{"a": shardLoad(500_000, [2]int64{9_000, 9_000}, [2]int64{9_000, 9_000})}, ""},
+		{"no worker has enough memory", full, map[string]Load{"a": littleMemory}, ""},
+		{"earlier version below the limit", full, map[string]Load{"a": {Capacity: 640_000, Committed: 590_000}}, "a"},
+		{"earlier version above the limit", full, map[string]Load{"a": {Capacity: 640_000, Committed: 600_000}}, ""},
+		{"no shard", full, nil, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			names := []string{}
+			for name := range c.loads {
+				names = append(names, name)
+			}
+			slices.Sort(names)
+			st := &workload.Step{Tasks: 1, LongRunning: true, Needs: resource.Vector{MilliCPU: 12_000, MemoryMB: 20_000}}
+			if got := ChooseBorrower(st, &c.own, c.loads, names); got != c.want {
+				t.Errorf("shard %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+// Tasks that were sent to a shard take its listed workers until it reports again.
+func TestListedWorkersAreReservedForSentTasks(t *testing.T) {
+	reported := shardLoad(600_000, [2]int64{30_000, 30_000}, [2]int64{13_000, 13_000})
+	l := reported
+	spec := &workload.Spec{Steps: []workload.Step{{Tasks: 1, LongRunning: true, Needs: resource.Vector{MilliCPU: 12_000}}}}
+	st := &spec.Steps[0]
+	for sent, want := range []string{"a", "a", "a", ""} {
+		if got := ChooseBorrower(st, &Load{}, map[string]Load{"a": l}, []string{"a"}); got != want {
+			t.Errorf("after %d tasks: shard %q, want %q", sent, got, want)
+		}
+		l.Add(spec)
+	}
+	if reported.FreeWorkers[0].MilliCPU != 30_000 || reported.FreeWorkers[1].MilliCPU != 13_000 {
+		t.Errorf("the reported load has changed: %v", reported.FreeWorkers)
+	}
+}
+
+func TestListWorkerKeepsTheLargest(t *testing.T) {
+	var list []WorkerCapacity
+	for i := range int64(20) {
+		list = listWorker(list, resource.Vector{MilliCPU: (i * 7 % 20) * 1000})
+	}
+	if len(list) != maxListedWorkers {
+		t.Fatalf("%d workers listed, want %d", len(list), maxListedWorkers)
+	}
+	for i, c := range list {
+		if want := int64(19-i) * 1000; c.MilliCPU != want {
+			t.Errorf("entry %d has %d, want %d", i, c.MilliCPU, want)
+		}
+	}
+}
--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -17,8 +17,22 @@
 	// bringing a service over its latency target. The entry without a name applies to
 	// images that have no entry.
 	BackfillCapacity []ImageCapacity `json:"rooms,omitempty"`
-	Racks            []string        `json:"racks,omitempty"`
-	Services         []string        `json:"services,omitempty"`
+	// FreeWorkers holds the free capacity of the workers with the most free CPU, and
+	// SpareWorkers the same without the runs that end by themselves. They are empty in the
+	// load of an instance of an earlier version.
+	FreeWorkers  []WorkerCapacity `json:"free,omitempty"`
+	SpareWorkers []WorkerCapacity `json:"spare,omitempty"`
+	// WaitingLongRunning is the number of long-running tasks that wait for a worker.
+	WaitingLongRunning int      `json:"wlr,omitempty"`
+	Racks              []string `json:"racks,omitempty"`
+	Services           []string `json:"services,omitempty"`
+}
+
+// WorkerCapacity is an amount of capacity of one worker, in a short form for messages.
+type WorkerCapacity struct {
+	MilliCPU     int64 `json:"c"`
+	MemoryMB     int64 `json:"m"`
+	Accelerators int64 `json:"a,omitempty"`
 }
 
 // ImageCapacity is the CPU available to backfill tasks of an image.
@@ -62,6 +76,12 @@
 		return
 	}
 	l.Committed += st.MilliCPU()
+	if st.LongRunning {
+		for range min(st.Tasks, maxListedWorkers) {
+			l.FreeWorkers = reserveListed(l.FreeWorkers, st.Committed())
+			l.SpareWorkers = reserveListed(l.SpareWorkers, st.Committed())
+		}
+	}
 }
 
 const (
@@ -73,6 +93,8 @@
 	backfillCapacityMaxAge = 400 * time.Millisecond
 	// maxBackfillImages bounds the entries of Load.BackfillCapacity.
 	maxBackfillImages = 32
+	// maxListedWorkers bounds the entries of Load.FreeWorkers and of Load.SpareWorkers.
+	maxListedWorkers = 8
 )
 
 // Load returns the shard's load, which may be as old as loadMaxAge.
@@ -84,7 +106,7 @@
 		s.backfillCapacity, s.backfillCapacityAt = s.computeBackfillCapacity(now), now
 	}
 	if now-s.cachedLoadAt > loadMaxAge {
-		s.cachedLoad, s.cachedLoadAt = s.computeLoad(), now
+		s.cachedLoad, s.cachedLoadAt = s.computeLoad(now), now
 	}
 	l := s.cachedLoad
 	l.BackfillCapacity = s.backfillCapacity
@@ -92,9 +114,14 @@
 }
 
 // computeLoad returns the load without the backfill capacity. The caller holds the lock.
-func (s *Shard) computeLoad() Load {
+func (s *Shard) computeLoad(now time.Duration) Load {
 	var l Load
 	for _, h := range s.hosts {
+		if h.acceptsRuns(now) && !s.publishedExpiries[h.ID] {
+			free := h.free()
+			l.FreeWorkers = listWorker(l.FreeWorkers, free)
+			l.SpareWorkers = listWorker(l.SpareWorkers, free.Add(h.finiteRunsCapacity()))
+		}
 		if !h.listed || h.Draining || h.unreachableSince > 0 {
 			continue
 		}
@@ -124,6 +151,9 @@
 		if waiting || t.Phase == workload.Placed {
 			l.Committed += t.step.Committed().MilliCPU
 		}
+		if waiting && t.step.LongRunning {
+			l.WaitingLongRunning++
+		}
 		if waiting && t.step.Backfill {
 			l.BackfillDemand += t.step.Needs.MilliCPU
 		}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -61,6 +61,17 @@
 	return v
 }
 
+// finiteRunsCapacity returns the capacity reserved by the runs that end by themselves.
+func (h *host) finiteRunsCapacity() resource.Vector {
+	var v resource.Vector
+	for _, t := range h.tasks {
+		if !t.step.LongRunning {
+			v = v.Add(t.step.Committed())
+		}
+	}
+	return v
+}
+
 // workerClock estimates the worker's clock in milliseconds.
 func (h *host) workerClock(now time.Duration) int64 {
 	return h.clock + (now - h.clockAt).Milliseconds()
--- a/internal/dispatch/lend_test.go
+++ b/internal/dispatch/lend_test.go
@@ -143,10 +143,11 @@
 		return names[0], ""
 	}
 	loads := map[string]Load{}
-	for _, name := range names {
+	for _, name := range v.net.names {
 		loads[name] = v.net.shards[name].shard().Load()
 	}
-	return ChooseBorrower(&spec.Steps[0], loads, names), "loads"
+	own := loads[v.own]
+	return ChooseBorrower(&spec.Steps[0], &own, loads, names), "loads"
 }
 
 func (v *view) Lend(ctx context.Context, shard string, a workload.Accepted) error {
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"skylarkport/internal/contract/fleet"
-	"skylarkport/internal/resource"
 )
 
 const (
@@ -80,7 +79,7 @@
 		if !isEligible(t, q, sl) {
 			continue
 		}
-		if !t.step.Committed().Fits(sl.free.Add(sl.finiteRunsCapacity())) {
+		if !t.step.Committed().Fits(sl.free.Add(sl.host.finiteRunsCapacity())) {
 			continue
 		}
 		if found == nil || sl.free.MilliCPU > found.free.MilliCPU {
@@ -93,17 +92,6 @@
 	}
 }
 
-// finiteRunsCapacity returns the capacity reserved by the runs that end by themselves.
-func (sl *slot) finiteRunsCapacity() resource.Vector {
-	var v resource.Vector
-	for _, t := range sl.host.tasks {
-		if !t.step.LongRunning {
-			v = v.Add(t.step.Committed())
-		}
-	}
-	return v
-}
-
 const (
 	// wasteDoublingWait is the wait after which the allowed waste has doubled; it grows
 	// linearly. Urgent work has to start within seconds, whatever it costs.
--- a/internal/node/balance.go
+++ b/internal/node/balance.go
@@ -43,7 +43,9 @@
 	if shard == "" || shard == o.own {
 		return "", false
 	}
-	o.node.owners.addLoad(shard, j)
+	// Jobs are hashed evenly over the home shards, so each of them is assumed to have sent as
+	// many jobs as this instance did.
+	o.node.owners.addLoad(shard, j, len(o.node.layout.Load().Shards()))
 	return shard, true
 }
 
@@ -74,7 +76,7 @@
 	if shard == "" {
 		return "", c.describeLoads(&spec.Steps[0], refusedBy)
 	}
-	o.node.owners.addLoad(shard, spec)
+	o.node.owners.addLoad(shard, spec, 1)
 	return shard, ""
 }
 
@@ -184,26 +186,26 @@
 
 // sentJob is a job that was recently sent to another shard.
 type sentJob struct {
-	job *workload.Spec
-	at  time.Time
+	job    *workload.Spec
+	copies int // how many times it counts
+	at     time.Time
 }
 
-// addLoad adds a moving job to its new shard's load until the shard reports it.
-func (o *owners) addLoad(shard string, j *workload.Spec) {
+// addLoad adds a moving job or a lent task to its new shard's load, as often as copies says,
+// until the shard reports it.
+func (o *owners) addLoad(shard string, j *workload.Spec, copies int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	own := o.shards[shard]
-	own.recentlySent = append(own.recentlySent, sentJob{j, time.Now()})
+	own.recentlySent = append(own.recentlySent, sentJob{j, copies, time.Now()})
 }
 
 // load returns the latest reported load of the shard plus the jobs recently sent to it.
-// Jobs are hashed evenly over the home shards, so each of them is assumed to have sent
-// as many jobs as this instance did.
-func (own *ownership) load(homeShards int) dispatch.Load {
+func (own *ownership) load() dispatch.Load {
 	own.recentlySent = slices.DeleteFunc(own.recentlySent, func(s sentJob) bool { return time.Since(s.at) > sentJobTTL })
 	l := own.known.Load
 	for _, s := range own.recentlySent {
-		for range homeShards {
+		for range s.copies {
 			l.Add(s.job)
 		}
 	}
@@ -221,7 +223,7 @@
 	defer o.mu.Unlock()
 	for name, own := range o.shards {
 		if own.shard == nil && own.known.Epoch > 0 && time.Since(own.lastReport) < maxLoadAge {
-			out[name] = own.load(len(o.shards))
+			out[name] = own.load()
 		}
 	}
 	return out
--- a/internal/node/choice.go
+++ b/internal/node/choice.go
@@ -154,7 +154,8 @@
 	names := slices.DeleteFunc(c.shardsWithService(), func(name string) bool {
 		return name == c.own || slices.Contains(refusedBy, name)
 	})
-	return dispatch.ChooseBorrower(st, c.loads, names)
+	own := c.loads[c.own]
+	return dispatch.ChooseBorrower(st, &own, c.loads, names)
 }
 
 // describeLoads lists the other shards of the service with the load that a task of the step
@@ -167,6 +168,9 @@
 		}
 		l := c.loads[name]
 		entry := fmt.Sprintf("%s %.3f", name, l.Utilisation(st.MilliCPU()))
+		if len(l.FreeWorkers) > 0 {
+			entry += fmt.Sprintf(" (%d free on one worker)", l.FreeWorkers[0].MilliCPU)
+		}
 		if slices.Contains(refusedBy, name) {
 			entry += " returned it"
 		}
