dispatch: the wait of a long-running task includes the wait for its lease

Callers see: a long-running task whose worker is lost has no run from that moment on, and counts as lost after nine seconds. Its shard counted the wait from the expiry of the lease, six seconds later, and then waited 1.2 s more before it lent the task. If the borrower returned it after two seconds, no time was left for another shard. Change: the wait counts from when the worker was last known to answer.

--- a/internal/dispatch/commands.go
+++ b/internal/dispatch/commands.go
@@ -158,6 +158,9 @@
 			if h.leaseExpired(t, now) && t.stage != stagePlanned && t.stage != stageSent {
 				logger.WithField("task", t.name).WithField("run", t.Run).WithField("worker", id).Info("lease expired")
 				s.returnToPending(t, now)
+				if t.step.LongRunning {
+					t.pendingSince = h.unreachableSince // it may have had no run since then
+				}
 				replan = true
 				continue
 			}
--- a/internal/dispatch/long_running_test.go
+++ b/internal/dispatch/long_running_test.go
@@ -84,3 +84,22 @@
 		a.awaitRuns(full.ID, 4, lostAfter)
 	})
 }
+
+// The wait for the lease counts: a shard that returns the task must leave time for another one.
+func TestLostWorkerBesideShardThatReturnsTasks(t *testing.T) {
+	for phase := time.Duration(0); phase < renewalWait; phase += 100 * time.Millisecond {
+		t.Run(phase.String(), func(t *testing.T) {
+			withShards(t, []int{2, 1, 2}, func(net *shardNet) {
+				a, b := net.shards["a"], net.shards["b"]
+				b.submit(longRunningJob("bb", 1, 8000))
+				b.awaitRuns("bb", 1, time.Second)
+				full := longRunningJob("aa", 4, 4000)
+				a.submit(full)
+				a.awaitRuns(full.ID, 4, time.Second)
+				time.Sleep(phase)
+				a.workers.Kill("a00")
+				a.awaitRuns(full.ID, 4, lostAfter)
+			})
+		})
+	}
+}
