dispatch: tasks on draining workers of a full shard continue in another shard

Callers see: a long-running task whose draining worker leaves has no run for the six seconds of the last lease and the time of a loan, though its shard knew for seconds before that the worker would go and that no other worker here was free. Change: such a task is offered to other shards while it runs. Its run is stopped once a borrower is chosen, and the loan follows its end; without a borrower it goes on.

--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -184,6 +184,7 @@
 	t.stopWanted, t.stopSentAt, t.stopAckedAt = false, 0, 0
 	t.percent, t.progressedAt, t.gauge, t.cpuLimit, t.overTargetSince, t.baseLoadAt = 0, now, 0, 0, 0, 0
 	t.startCPULimit = 0
+	t.lendTo, t.drainKept = "", false
 	h.tasks[t.name] = t
 	t.job.setRunning()
 }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -72,6 +72,8 @@
 	cpuLimit        int           // CPU limit in percent of full speed, 1 to 100; 0 if never limited
 	loan            loanState     // used while the task is lent
 	lendAt          time.Duration // not lent before then
+	lendTo          string        // shard that is lent the task once its run has been stopped, "" for none
+	drainKept       bool          // its worker drains, and the last plan found no worker here to continue on
 	refusedBy       []string      // shards that returned the task without running it
 	waitReason      waitReason    // why the last plan did not place it
 }
--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -53,8 +53,8 @@
 	return out
 }
 
-// lendWaitingTasks lends long-running tasks that find no worker in this shard to shards that
-// have capacity, and reports whether there were any. From the commit that stores a loan on,
+// lendWaitingTasks lends long-running tasks that find no worker in this shard, or whose worker
+// drains, to shards that have capacity, and reports whether there were any. From the commit that stores a loan on,
 // this shard may not run the task until the borrower has returned it.
 func (s *Shard) lendWaitingTasks(now time.Duration) bool {
 	if s.cfg.OtherShards == nil {
@@ -62,8 +62,11 @@
 	}
 	lent := false
 	for _, o := range s.loanOffers(now) {
-		// Called without the lock: it takes the locks of shards to read their loads.
-		shard, why := s.cfg.OtherShards.Borrower(&o.spec, o.refusedBy)
+		shard, why := o.lendTo, ""
+		if shard == "" {
+			// Called without the lock: it takes the locks of shards to read their loads.
+			shard, why = s.cfg.OtherShards.Borrower(&o.spec, o.refusedBy)
+		}
 		if shard != "" {
 			lent = s.lend(o.task, shard, now) || lent
 		} else {
@@ -78,6 +81,7 @@
 	task      *task
 	spec      workload.Spec // the borrower's job
 	refusedBy []string
+	lendTo    string // the borrower, if it has been chosen already
 }
 
 // loanOffers returns some tasks that may be lent, within the limit of loans in flight.
@@ -94,25 +98,37 @@
 			continue
 		}
 		for _, t := range j.tasks[0] {
-			if t.Phase == workload.Lent && !t.loan.stored {
+			if t.Phase == workload.Lent && !t.loan.stored || t.Phase == workload.Placed && t.lendTo != "" {
 				inFlight++
 			}
-			if s.mayLend(t, now) {
-				out = append(out, loanOffer{t, t.newLoan(s.cfg.Name).Spec, slices.Clone(t.refusedBy)})
+			if s.mayLend(t, now) || s.mayLeave(t, now) {
+				out = append(out, loanOffer{t, t.newLoan(s.cfg.Name).Spec, slices.Clone(t.refusedBy), t.lendTo})
 			}
 		}
 	}
 	return out[:min(len(out), max(0, maxLoansInFlight-inFlight))]
 }
 
-// mayLend reports whether t may be lent: it is long-running, has no run, and has waited for
-// lendAfter in a job that cannot move as a whole.
+// mayLend reports whether t may be lent: it has no run and has waited for lendAfter, or its run
+// was stopped for the loan.
 func (s *Shard) mayLend(t *task, now time.Duration) bool {
-	j := t.job
-	if t.Phase != workload.Pending || !t.step.LongRunning || t.step.Gang || now-t.pendingSince < lendAfter || now < t.lendAt {
+	if t.Phase != workload.Pending || t.lendTo == "" && (now-t.pendingSince < lendAfter || now < t.lendAt) {
 		return false
 	}
-	return j.stored && j.active() && j.loan == nil && !j.spec.Timed() && (j.hasRun || j.movedHere)
+	return t.lendable()
+}
+
+// mayLeave reports whether the run of t may be stopped for a loan: its worker drains and no
+// other worker of this shard is free for it.
+func (s *Shard) mayLeave(t *task, now time.Duration) bool {
+	h := s.hosts[t.Worker]
+	return t.stage == stageRunning && t.drainKept && !t.stopWanted && now >= t.lendAt && h != nil && h.Draining && t.lendable()
+}
+
+// lendable reports whether t is a long-running task of a job that cannot move as a whole.
+func (t *task) lendable() bool {
+	j := t.job
+	return t.step.LongRunning && !t.step.Gang && j.stored && j.active() && j.loan == nil && !j.spec.Timed() && (j.hasRun || j.movedHere)
 }
 
 // newLoan returns the job that a borrower stores for t.
@@ -130,15 +146,20 @@
 }
 
 // lend records the loan of t to a shard, which the next commit stores, unless something has
-// changed since t was chosen.
+// changed since t was chosen. A task that still runs on a draining worker is stopped first.
 func (s *Shard) lend(t *task, shard string, now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.mayLeave(t, now) {
+		t.lendTo, t.stopWanted = shard, true
+		s.sendStopIfDue(t, s.hosts[t.Worker], now)
+		return false
+	}
 	if !s.mayLend(t, now) {
 		return false
 	}
 	t.Phase, t.Run, t.Worker = workload.Lent, t.Run+1, shard
-	t.loan = loanState{}
+	t.loan, t.lendTo, t.drainKept = loanState{}, "", false
 	t.job.setRunning()
 	s.cfg.Metrics.Lent()
 	logger.WithField("task", t.name).WithField("shard", s.cfg.Name).WithField("to", shard).WithField("loan", t.Run).
@@ -151,9 +172,12 @@
 func (s *Shard) keepWaiting(t *task, why string, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.mayLend(t, now) {
+	switch {
+	case s.mayLend(t, now):
 		t.refusedBy, t.lendAt = nil, now+lendRetry
 		s.logWait(t, why, now)
+	case s.mayLeave(t, now):
+		t.refusedBy, t.lendAt = nil, now+lendRetry
 	}
 }
 
--- a/internal/dispatch/long_running_test.go
+++ b/internal/dispatch/long_running_test.go
@@ -103,3 +103,40 @@
 		})
 	}
 }
+
+// Tasks on a draining worker of a full shard continue in another shard before the worker leaves.
+func TestDrainOfAFullShardMovesTasksToAnother(t *testing.T) {
+	withShards(t, []int{2, 2}, func(net *shardNet) {
+		net.byLoad = true
+		a := net.shards["a"]
+		full := longRunningJob("aa", 4, 4000)
+		a.submit(full)
+		a.awaitRuns(full.ID, 4, time.Second)
+		time.Sleep(firstContact)
+		a.workers.Drain("a00")
+		time.Sleep(2 * time.Second)
+		if on, all := a.workers.RunningOn("a00"), a.workers.Running(full.ID); on != 0 || all != 4 {
+			t.Errorf("%d tasks run, %d of them on the draining worker, want 4 and 0", all, on)
+		}
+	})
+}
+
+// Without a worker in any shard, the tasks on a draining worker run until it leaves.
+func TestDrainOfFullShardsStopsNothing(t *testing.T) {
+	withShards(t, []int{2, 1}, func(net *shardNet) {
+		net.byLoad = true
+		a, b := net.shards["a"], net.shards["b"]
+		b.submit(longRunningJob("bb", 1, 8000))
+		b.awaitRuns("bb", 1, time.Second)
+		full := longRunningJob("aa", 4, 4000)
+		a.submit(full)
+		a.awaitRuns(full.ID, 4, time.Second)
+		a.workers.Drain("a00")
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			if n := a.workers.Running(full.ID); n != 4 {
+				t.Fatalf("%d tasks run, want 4", n)
+			}
+		}
+	})
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -164,6 +164,7 @@
 			continue
 		}
 		sl := p.bestSlot(t, queueOf(cfg, t.job), p.slots, "", nil)
+		t.drainKept = sl == nil
 		if sl == nil {
 			kept++
 			continue
@@ -226,12 +227,12 @@
 	return out
 }
 
-// waiting returns the pending tasks whose backoff is over, and requests another plan for the
-// end of each other backoff.
+// waiting returns the pending tasks that are to run here and whose backoff is over, and
+// requests another plan for the end of each other backoff.
 func (s *Shard) waiting(tasks []*task, now time.Duration) []*task {
 	var out []*task
 	for _, t := range tasks {
-		if t.Phase != workload.Pending {
+		if t.Phase != workload.Pending || t.lendTo != "" {
 			continue
 		}
 		if now < t.notBefore {
