dispatch: a running task leaves a draining worker only for a shard without a queue

Cause: with the change before, a run on a draining worker was stopped for any free worker that another shard listed. Change: a request for a borrower says whether the task still runs. If so, the shard needs a free worker and a load, with its queue, of at most its capacity.

--- a/internal/dispatch/borrower.go
+++ b/internal/dispatch/borrower.go
@@ -12,16 +12,32 @@
 // free workers, as instances of earlier versions do not.
 const maxBorrowerLoad = 0.95
 
-// ChooseBorrower returns the named shard that should run one long-running task of the step,
-// which finds no worker in its own shard, or "" if none probably has a worker for it.
+// LoanRequest describes a long-running task that finds no worker in its own shard.
+type LoanRequest struct {
+	Spec      workload.Spec // the job that the borrower would store: one step of one task
+	Running   bool          // the task still runs, on a draining worker
+	RefusedBy []string      // shards that returned the task
+}
+
+// step is the step of the task.
+func (r *LoanRequest) step() *workload.Step { return &r.Spec.Steps[0] }
+
+// ChooseBorrower returns the named shard that should run the task, or "" if none probably has a
+// worker for it.
 //
 // It answers the load of a fleet in which most capacity is held by long-running tasks: the load
 // of a whole shard tells little then, as the tasks in its queue count and a single worker may be
 // free all the same. A shard with a free worker is taken first. If the own shard has no worker
 // on which the task fits even once all short runs have ended, a shard that has one is taken.
-func ChooseBorrower(st *workload.Step, own *Load, loads map[string]Load, names []string) string {
-	need := st.Committed()
-	if name := leastLoaded(loads, names, func(l *Load) bool { return fitsListed(l.FreeWorkers, need) }); name != "" {
+// A task that still runs is only given to a shard in which nothing waits for the free worker:
+// its run would be stopped, and then wait behind a queue.
+func ChooseBorrower(r *LoanRequest, own *Load, loads map[string]Load, names []string) string {
+	need := r.step().Committed()
+	names = slices.DeleteFunc(slices.Clone(names), func(name string) bool { return slices.Contains(r.RefusedBy, name) })
+	name := leastLoaded(loads, names, func(l *Load) bool {
+		return fitsListed(l.FreeWorkers, need) && (!r.Running || l.Utilisation(need.MilliCPU) <= 1)
+	})
+	if name != "" || r.Running {
 		return name
 	}
 	return leastLoaded(loads, names, func(l *Load) bool {
--- a/internal/dispatch/borrower_test.go
+++ b/internal/dispatch/borrower_test.go
@@ -19,6 +19,12 @@
 	return l
 }
 
+// loanRequest returns the request for a task of the given size.
+func loanRequest(milliCPU, memoryMB int64) *LoanRequest {
+	st := workload.Step{Tasks: 1, LongRunning: true, Needs: resource.Vector{MilliCPU: milliCPU, MemoryMB: memoryMB}}
+	return &LoanRequest{Spec: workload.Spec{Steps: []workload.Step{st}}}
+}
+
 func TestChooseBorrower(t *testing.T) {
 	full := shardLoad(640_000, [2]int64{0, 0})
 	waiting := shardLoad(600_000, [2]int64{0, 30_000})
@@ -27,22 +33,26 @@
 	littleMemory.FreeWorkers = []WorkerCapacity{{MilliCPU: 30_000, MemoryMB: 100}}
 	littleMemory.SpareWorkers = littleMemory.FreeWorkers
 	for _, c := range []struct {
-		name  string
-		own   Load
-		loads map[string]Load
-		want  string
+		name    string
+		own     Load
+		loads   map[string]Load
+		running bool
+		want    string
 	}{
-		{"free worker in a shard with a queue", full, map[string]Load{"a": shardLoad(800_000, [2]int64{16_000, 16_000}), "b": full}, "a"},
-		{"less loaded of two with a free worker", full, map[string]Load{"a": shardLoad(800_000, [2]int64{16_000, 16_000}), "b": shardLoad(700_000, [2]int64{13_000, 13_000})}, "b"},
-		{"free worker before a less loaded shard with short runs", full, map[string]Load{"a": shardLoad(640_000, [2]int64{16_000, 16_000}), "b": shardLoad(500_000, [2]int64{0, 64_000})}, "a"},
-		{"short runs in another shard", full, map[string]Load{"a": shardLoad(900_000, [2]int64{0, 30_000}), "b": full}, "a"},
-		{"short runs in the own shard too", shardLoad(900_000, [2]int64{0, 20_000}), map[string]Load{"a": shardLoad(900_000, [2]int64{0, 30_000})}, ""},
-		{"short runs where long-running tasks wait already", full, map[string]Load{"a": waiting}, ""},
-		{"no worker is large enough", full, map[string]Load{"a": shardLoad(500_000, [2]int64{9_000, 9_000}, [2]int64{9_000, 9_000})}, ""},
-		{"no worker has enough memory", full, map[string]Load{"a": littleMemory}, ""},
-		{"earlier version below the limit", full, map[string]Load{"a": {Capacity: 640_000, Committed: 590_000}}, "a"},
-		{"earlier version above the limit", full, map[string]Load{"a": {Capacity: 640_000, Committed: 600_000}}, ""},
-		{"no shard", full, nil, ""},
+		{"free worker in a shard with a queue", full, map[string]Load{"a": shardLoad(800_000, [2]int64{16_000, 16_000}), "b": full}, false, "a"},
+		{"less loaded of two with a free worker", full, map[string]Load{"a": shardLoad(800_000, [2]int64{16_000, 16_000}), "b": shardLoad(700_000, [2]int64{13_000, 13_000})}, false, "b"},
+		{"free worker before a less loaded shard with short runs", full, map[string]Load{"a": shardLoad(640_000, [2]int64{16_000, 16_000}), "b": shardLoad(500_000, [2]int64{0, 64_000})}, false, "a"},
+		{"short runs in another shard", full, map[string]Load{"a": shardLoad(900_000, [2]int64{0, 30_000}), "b": full}, false, "a"},
+		{"short runs in the own shard too", shardLoad(900_000, [2]int64{0, 20_000}), map[string]Load{"a": shardLoad(900_000, [2]int64{0, 30_000})}, false, ""},
+		{"short runs where long-running tasks wait already", full, map[string]Load{"a": waiting}, false, ""},
+		{"no worker is large enough", full, map[string]Load{"a": shardLoad(500_000, [2]int64{9_000, 9_000}, [2]int64{9_000, 9_000})}, false, ""},
+		{"no worker has enough memory", full, map[string]Load{"a": littleMemory}, false, ""},
+		{"earlier version below the limit", full, map[string]Load{"a": {Capacity: 640_000, Committed: 590_000}}, false, "a"},
+		{"earlier version above the limit", full, map[string]Load{"a": {Capacity: 640_000, Committed: 600_000}}, false, ""},
+		{"running task, free worker and no queue", full, map[string]Load{"a": shardLoad(600_000, [2]int64{16_000, 16_000})}, true, "a"},
+		{"running task, free worker in a shard with a queue", full, map[string]Load{"a": shardLoad(800_000, [2]int64{16_000, 16_000})}, true, ""},
+		{"running task, short runs in another shard", full, map[string]Load{"a": shardLoad(600_000, [2]int64{0, 30_000})}, true, ""},
+		{"no shard", full, nil, false, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			names := []string{}
@@ -50,8 +60,9 @@
 				names = append(names, name)
 			}
 			slices.Sort(names)
-			st := &workload.Step{Tasks: 1, LongRunning: true, Needs: resource.Vector{MilliCPU: 12_000, MemoryMB: 20_000}}
-			if got := ChooseBorrower(st, &c.own, c.loads, names); got != c.want {
+			r := loanRequest(12_000, 20_000)
+			r.Running = c.running
+			if got := ChooseBorrower(r, &c.own, c.loads, names); got != c.want {
 				t.Errorf("shard %q, want %q", got, c.want)
 			}
 		})
@@ -62,13 +73,12 @@
 func TestListedWorkersAreReservedForSentTasks(t *testing.T) {
 	reported := shardLoad(600_000, [2]int64{30_000, 30_000}, [2]int64{13_000, 13_000})
 	l := reported
-	spec := &workload.Spec{Steps: []workload.Step{{Tasks: 1, LongRunning: true, Needs: resource.Vector{MilliCPU: 12_000}}}}
-	st := &spec.Steps[0]
+	r := loanRequest(12_000, 0)
 	for sent, want := range []string{"a", "a", "a", ""} {
-		if got := ChooseBorrower(st, &Load{}, map[string]Load{"a": l}, []string{"a"}); got != want {
+		if got := ChooseBorrower(r, &Load{}, map[string]Load{"a": l}, []string{"a"}); got != want {
 			t.Errorf("after %d tasks: shard %q, want %q", sent, got, want)
 		}
-		l.Add(spec)
+		l.Add(&r.Spec)
 	}
 	if reported.FreeWorkers[0].MilliCPU != 30_000 || reported.FreeWorkers[1].MilliCPU != 13_000 {
 		t.Errorf("the reported load has changed: %v", reported.FreeWorkers)
--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -65,7 +65,7 @@
 		shard, why := o.lendTo, ""
 		if shard == "" {
 			// Called without the lock: it takes the locks of shards to read their loads.
-			shard, why = s.cfg.OtherShards.Borrower(&o.spec, o.refusedBy)
+			shard, why = s.cfg.OtherShards.Borrower(&o.request)
 		}
 		if shard != "" {
 			lent = s.lend(o.task, shard, now) || lent
@@ -78,10 +78,9 @@
 
 // loanOffer is a task that may be lent.
 type loanOffer struct {
-	task      *task
-	spec      workload.Spec // the borrower's job
-	refusedBy []string
-	lendTo    string // the borrower, if it has been chosen already
+	task    *task
+	request LoanRequest
+	lendTo  string // the borrower, if it has been chosen already
 }
 
 // loanOffers returns some tasks that may be lent, within the limit of loans in flight.
@@ -101,8 +100,8 @@
 			if t.Phase == workload.Lent && !t.loan.stored || t.Phase == workload.Placed && t.lendTo != "" {
 				inFlight++
 			}
-			if s.mayLend(t, now) || s.mayLeave(t, now) {
-				out = append(out, loanOffer{t, t.newLoan(s.cfg.Name).Spec, slices.Clone(t.refusedBy), t.lendTo})
+			if leaving := s.mayLeave(t, now); leaving || s.mayLend(t, now) {
+				out = append(out, loanOffer{t, LoanRequest{t.newLoan(s.cfg.Name).Spec, leaving, slices.Clone(t.refusedBy)}, t.lendTo})
 			}
 		}
 	}
--- a/internal/dispatch/lend_test.go
+++ b/internal/dispatch/lend_test.go
@@ -132,9 +132,9 @@
 	return InterferenceEstimates{}, errors.New("no estimates")
 }
 
-func (v *view) Borrower(spec *workload.Spec, refusedBy []string) (shard, why string) {
+func (v *view) Borrower(r *LoanRequest) (shard, why string) {
 	names := slices.DeleteFunc(slices.Clone(v.net.names), func(name string) bool {
-		return name == v.own || slices.Contains(refusedBy, name)
+		return name == v.own || slices.Contains(r.RefusedBy, name)
 	})
 	if len(names) == 0 {
 		return "", "all shards returned it"
@@ -147,7 +147,7 @@
 		loads[name] = v.net.shards[name].shard().Load()
 	}
 	own := loads[v.own]
-	return ChooseBorrower(&spec.Steps[0], &own, loads, names), "loads"
+	return ChooseBorrower(r, &own, loads, names), "loads"
 }
 
 func (v *view) Lend(ctx context.Context, shard string, a workload.Accepted) error {
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -26,9 +26,9 @@
 	InterferenceEstimates(ctx context.Context) (InterferenceEstimates, error)
 	// HasJob reports whether the shard still has the job.
 	HasJob(ctx context.Context, shard, id string) (bool, error)
-	// Borrower names a shard, none of refusedBy, that probably has capacity for the lent
-	// task that spec describes, or returns "" and why there is none.
-	Borrower(spec *workload.Spec, refusedBy []string) (shard, why string)
+	// Borrower names a shard that probably has a worker for the task of the loan, or returns
+	// "" and why there is none.
+	Borrower(r *LoanRequest) (shard, why string)
 	// Lend hands a loan over. It returns nil once the borrower has stored it, and an error
 	// with the code LoanBad if the borrower has not stored it and never will.
 	Lend(ctx context.Context, shard string, a workload.Accepted) error
--- a/internal/dispatch/move_test.go
+++ b/internal/dispatch/move_test.go
@@ -57,7 +57,7 @@
 	return InterferenceEstimates{}, errors.New("no estimates")
 }
 
-func (o *otherShard) Borrower(*workload.Spec, []string) (string, string) { return "", "no loans" }
+func (o *otherShard) Borrower(*LoanRequest) (string, string) { return "", "no loans" }
 
 func (o *otherShard) Lend(context.Context, string, workload.Accepted) error {
 	return errors.New("no loans")
--- a/internal/node/balance.go
+++ b/internal/node/balance.go
@@ -64,19 +64,18 @@
 }
 
 // Borrower implements dispatch.OtherShards.
-func (o *otherShards) Borrower(spec *workload.Spec, refusedBy []string) (shard, why string) {
-	c := o.selector(spec)
+func (o *otherShards) Borrower(r *dispatch.LoanRequest) (shard, why string) {
+	c := o.selector(&r.Spec)
 	if c == nil {
 		return "", "queue not configured"
 	}
 	if name := o.node.peers.withoutLoans(); name != "" {
 		return "", "instance " + name + " knows no loans"
 	}
-	shard = c.borrower(&spec.Steps[0], refusedBy)
-	if shard == "" {
-		return "", c.describeLoads(&spec.Steps[0], refusedBy)
+	if shard = c.borrower(r); shard == "" {
+		return "", c.describeLoads(r)
 	}
-	o.node.owners.addLoad(shard, spec, 1)
+	o.node.owners.addLoad(shard, &r.Spec, 1)
 	return shard, ""
 }
 
--- a/internal/node/choice.go
+++ b/internal/node/choice.go
@@ -148,30 +148,27 @@
 	return best
 }
 
-// borrower returns the other shard, none of refusedBy, that should run a long-running task of
-// the step, or "".
-func (c *shardSelector) borrower(st *workload.Step, refusedBy []string) string {
-	names := slices.DeleteFunc(c.shardsWithService(), func(name string) bool {
-		return name == c.own || slices.Contains(refusedBy, name)
-	})
+// borrower returns the other shard that should run the task of the loan, or "".
+func (c *shardSelector) borrower(r *dispatch.LoanRequest) string {
+	names := slices.DeleteFunc(c.shardsWithService(), func(name string) bool { return name == c.own })
 	own := c.loads[c.own]
-	return dispatch.ChooseBorrower(st, &own, c.loads, names)
+	return dispatch.ChooseBorrower(r, &own, c.loads, names)
 }
 
-// describeLoads lists the other shards of the service with the load that a task of the step
+// describeLoads lists the other shards of the service with the load that the task of the loan
 // would bring them to, for the log. The loads of shards that are not listed are too old.
-func (c *shardSelector) describeLoads(st *workload.Step, refusedBy []string) string {
+func (c *shardSelector) describeLoads(r *dispatch.LoanRequest) string {
 	var out []string
 	for _, name := range c.shardsWithService() {
 		if name == c.own {
 			continue
 		}
 		l := c.loads[name]
-		entry := fmt.Sprintf("%s %.3f", name, l.Utilisation(st.MilliCPU()))
+		entry := fmt.Sprintf("%s %.3f", name, l.Utilisation(r.Spec.Steps[0].MilliCPU()))
 		if len(l.FreeWorkers) > 0 {
 			entry += fmt.Sprintf(" (%d free on one worker)", l.FreeWorkers[0].MilliCPU)
 		}
-		if slices.Contains(refusedBy, name) {
+		if slices.Contains(r.RefusedBy, name) {
 			entry += " returned it"
 		}
 		out = append(out, entry)
--- a/internal/node/stored_test.go
+++ b/internal/node/stored_test.go
@@ -141,7 +141,7 @@
 	spec := workload.Spec{Queue: "q", Steps: []workload.Step{{Tasks: 1, LongRunning: true, Needs: resource.Vector{MilliCPU: 1000}}}}
 	for incarnation, loans := range []bool{false, true} {
 		n.peers.observe(&Ping{From: Instance{Name: "n2", Zone: "z0", Incarnation: int64(incarnation), Loans: loans}, StoreOK: true})
-		if shard, why := others.Borrower(&spec, nil); (shard != "") != loans || (why == "") != loans {
+		if shard, why := others.Borrower(&dispatch.LoanRequest{Spec: spec}); (shard != "") != loans || (why == "") != loans {
 			t.Errorf("peer knows loans: %v, borrower %q, reason %q", loans, shard, why)
 		}
 	}
