dispatch: the last lease renewal is sent just before the renewal window closes

Cause: the time of the last lease depended on the phase of the renewals. A trace of failed plays shows it 0.98 s before the window closed; the next renewal came 0.52 s after and could carry no lease. So the run ended 9.71 s after the outage began, while the first lease after it came 9.74 s and 9.78 s after its begin, as the last attempt before the end of the outage had 0.6 s to time out. Ruled out: renewals that stop while ends wait (they go on every 1.5 s), and a lost answer of the worker. A second commit attempt in parallel would gain up to 0.9 s, but doubles the writes in every outage; a shorter wait for durable ends alone leaves a gap of up to a second. Change: the wait at the worker and the wait for durable ends are cut so that a renewal is due 0.2 s before the window closes. At most a few renewals more per worker and outage of five seconds. The window, the lease and the check that no lease is granted after the window are unchanged.

--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -455,3 +455,56 @@
 		}
 	})
 }
+
+// outagePhases runs f for store outages that begin at different times between two lease
+// renewals, with and without run ends that wait for the store.
+func outagePhases(t *testing.T, f func(tc *testCluster)) {
+	for _, brief := range []int{0, 2} {
+		for phase := time.Duration(0); phase < renewalWait; phase += 50 * time.Millisecond {
+			t.Run(fmt.Sprint(brief, " brief tasks/", phase), func(t *testing.T) {
+				withCluster(t, 1, func(tc *testCluster) {
+					beginOutage(tc, brief, phase)
+					f(tc)
+				})
+			})
+		}
+	}
+}
+
+// beginOutage begins an outage of the store while a long-running task and brief tasks of one
+// second run.
+func beginOutage(tc *testCluster, brief int, phase time.Duration) {
+	tc.workers.SetDuration(func(task string) time.Duration {
+		if strings.HasPrefix(task, "long") {
+			return time.Hour
+		}
+		return time.Second
+	})
+	tc.waitForWorkers()
+	long := jobWithSteps("long", "short", 1)
+	long.Steps[0].LongRunning = true
+	tc.submit(long)
+	time.Sleep(phase)
+	if brief > 0 {
+		tc.submit(jobWithSteps("brief", "short", brief))
+	}
+	time.Sleep(300 * time.Millisecond)
+	storeFault(fleetfake.RequestLost)(tc)
+}
+
+// TestLastRenewalIsAtTheEndOfTheWindow: the last lease of an outage must be granted shortly
+// before the renewal window closes, whatever the phase, and never after it.
+func TestLastRenewalIsAtTheEndOfTheWindow(t *testing.T) {
+	outagePhases(t, func(tc *testCluster) {
+		time.Sleep(LeaseRenewalWindow + 500*time.Millisecond)
+		s := tc.shard()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		h := s.hosts["w00"]
+		granted := h.clockAt + time.Duration(h.maxLeaseUntil-h.clock)*time.Millisecond - s.lease()
+		left := s.lastCommitBuiltAt + LeaseRenewalWindow - granted
+		if left < 0 || left > lastRenewalLead {
+			tc.t.Errorf("last renewal %s before the window closed, want at most %s", left, lastRenewalLead)
+		}
+	})
+}
--- a/internal/dispatch/renewal.go
+++ b/internal/dispatch/renewal.go
@@ -30,6 +30,9 @@
 	// durableWaitLimit bounds the wait for run ends to become durable before the worker is
 	// asked again: leases have to be renewed also while the store is unavailable.
 	durableWaitLimit = 1500 * time.Millisecond
+	// lastRenewalLead is how long before the renewal window closes the last renewal is due.
+	// It leaves time to identify the worker's incarnation first.
+	lastRenewalLead = 200 * time.Millisecond
 )
 
 // followWorker renews the leases of the runs on h and processes its reports until ctx ends.
@@ -82,7 +85,7 @@
 		return renewal, now
 	}
 	renewal.Acked = h.durableEnd
-	renewal.WaitMillis = renewalWait.Milliseconds()
+	renewal.WaitMillis = s.untilRenewal(now, renewalWait).Milliseconds()
 	if now-s.lastCommitBuiltAt < LeaseRenewalWindow && len(h.tasks) > 0 && !s.publishedExpiries[h.ID] {
 		renewal.LeaseUntil = h.workerClock(now) + s.lease().Milliseconds()
 		h.recordLease(renewal.LeaseUntil)
@@ -90,6 +93,16 @@
 	return renewal, now
 }
 
+// untilRenewal returns wait, or less if the renewal window closes soon: the last renewal in
+// the window is due lastRenewalLead before its end. The caller holds the lock.
+func (s *Shard) untilRenewal(now, wait time.Duration) time.Duration {
+	left := s.lastCommitBuiltAt + LeaseRenewalWindow - lastRenewalLead - now
+	if left < time.Millisecond {
+		return wait
+	}
+	return min(wait, left)
+}
+
 // handleRenewalFailure marks h as unreachable after a renewal without a response.
 func (s *Shard) handleRenewalFailure(h *host, err error) {
 	s.mu.Lock()
@@ -105,7 +118,9 @@
 // renewal acknowledges them. A worker responds at once, without waiting, while it has
 // unacknowledged ends to report.
 func (s *Shard) awaitDurable(ctx context.Context, h *host) {
-	timer := time.NewTimer(durableWaitLimit)
+	s.mu.Lock()
+	timer := time.NewTimer(s.untilRenewal(s.now(), durableWaitLimit))
+	s.mu.Unlock()
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
