dispatch: the next lease does not wait for a renewal without one

Cause: a renewal sent while no lease may be granted was held by the worker for up to a second. The commit that allows leases again could not end that wait, so the lease came up to a second late: after an outage of the store and after every takeover, where the first renewal preceded the first commit. Change: while no lease may be granted, the owner asks for a report at once and waits itself, at most a second; a durable commit that allows leases wakes it. The checks for granting a lease are the same, in leaseAllowed.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -391,10 +391,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if res.Version > 0 {
+		allowsLeases := s.now()-s.lastCommitBuiltAt >= LeaseRenewalWindow || len(s.publishedExpiries) > 0
 		s.heartbeat, s.heartbeatVersion = b.heartbeat, res.Version
 		clear(s.publishedExpiries)
 		s.recordPublishedExpiries(b.heartbeat.LeaseExpiries)
 		s.lastCommit, s.lastCommitBuiltAt = s.now(), b.builtAt
+		if allowsLeases {
+			s.wakeFollowers()
+		}
 		s.cfg.Metrics.Committed(s.lastCommit-b.startedAt, len(b.jobs))
 		s.setStoreClockLocked(res.Clock)
 		if s.commitsFailingSince > 0 {
--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -508,3 +508,40 @@
 		}
 	})
 }
+
+// TestLongTaskRunsThroughOutage: once the store is back, the next lease must not wait for a
+// renewal without one. The runs are counted when the last lease before it has ended.
+func TestLongTaskRunsThroughOutage(t *testing.T) {
+	outagePhases(t, func(tc *testCluster) {
+		before := tc.workers.Starts()
+		time.Sleep(9 * time.Second)
+		clearStoreFault(tc)
+		time.Sleep(maxLease)
+		if n := tc.workers.Starts() - before; n != 0 || tc.workers.Running("long") != 1 {
+			tc.t.Errorf("%d starts, %d runs, want 0 and 1", n, tc.workers.Running("long"))
+		}
+	})
+}
+
+// TestSuccessorRenewsAtOnce: a successor must renew leases right after its first commit, as
+// those of the earlier owner may be about to end.
+func TestSuccessorRenewsAtOnce(t *testing.T) {
+	for phase := time.Duration(0); phase < renewalWait; phase += 50 * time.Millisecond {
+		t.Run(fmt.Sprint(phase), func(t *testing.T) {
+			withCluster(t, 1, func(tc *testCluster) {
+				tc.workers.SetDuration(func(string) time.Duration { return time.Hour })
+				tc.waitForWorkers()
+				spec := spreadJob(1)
+				tc.submit(spec)
+				time.Sleep(2*time.Second + phase)
+				tc.stopOwner()
+				time.Sleep(maxLease - renewalWait - 200*time.Millisecond)
+				tc.takeOver()
+				time.Sleep(maxLease)
+				if n := tc.workers.Running(spec.ID); n != 1 || tc.workers.Starts() != 1 {
+					t.Errorf("%d starts, %d runs, want 1 and 1", tc.workers.Starts(), n)
+				}
+			})
+		})
+	}
+}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -120,8 +120,8 @@
 	h.unknownRunStops = map[string]bool{}
 }
 
-// wakeFollower ends the wait of the loop that renews the leases on h, if it is waiting for
-// durable run ends.
+// wakeFollower makes the loop that renews the leases on h check what it waits for: durable
+// run ends, or that a lease may be granted.
 func (h *host) wakeFollower() {
 	select {
 	case h.wake <- struct{}{}:
@@ -129,6 +129,13 @@
 	}
 }
 
+// wakeFollowers wakes the follower of every host. The caller holds the lock.
+func (s *Shard) wakeFollowers() {
+	for _, h := range s.hosts {
+		h.wakeFollower()
+	}
+}
+
 // acceptsRuns reports whether new runs may be placed on h.
 func (h *host) acceptsRuns(now time.Duration) bool {
 	return h.listed && !h.Draining && h.fenced && h.unreachableSince == 0 && now >= h.busyUntil && now >= h.quarantinedUntil
--- a/internal/dispatch/renewal.go
+++ b/internal/dispatch/renewal.go
@@ -59,7 +59,9 @@
 		}
 		if renewal.WaitMillis > 0 {
 			s.awaitDurable(ctx, h)
-		} // otherwise it only identified the incarnation, and the next one carries the lease
+			continue
+		}
+		s.awaitLeaseAllowed(ctx, h) // it only identified the incarnation, and the next one carries the lease
 	}
 }
 
@@ -84,15 +86,23 @@
 		// computed for its earlier incarnation must not be sent to the new one.
 		return renewal, now
 	}
+	if !s.leaseAllowed(h, now) {
+		return renewal, now // it must not be under way when a lease becomes allowed
+	}
 	renewal.Acked = h.durableEnd
 	renewal.WaitMillis = s.untilRenewal(now, renewalWait).Milliseconds()
-	if now-s.lastCommitBuiltAt < LeaseRenewalWindow && len(h.tasks) > 0 && !s.publishedExpiries[h.ID] {
+	if len(h.tasks) > 0 {
 		renewal.LeaseUntil = h.workerClock(now) + s.lease().Milliseconds()
 		h.recordLease(renewal.LeaseUntil)
 	}
 	return renewal, now
 }
 
+// leaseAllowed reports whether a lease may be granted to h now. The caller holds the lock.
+func (s *Shard) leaseAllowed(h *host, now time.Duration) bool {
+	return now-s.lastCommitBuiltAt < LeaseRenewalWindow && !s.publishedExpiries[h.ID]
+}
+
 // untilRenewal returns wait, or less if the renewal window closes soon: the last renewal in
 // the window is due lastRenewalLead before its end. The caller holds the lock.
 func (s *Shard) untilRenewal(now, wait time.Duration) time.Duration {
@@ -119,14 +129,27 @@
 // unacknowledged ends to report.
 func (s *Shard) awaitDurable(ctx context.Context, h *host) {
 	s.mu.Lock()
-	timer := time.NewTimer(s.untilRenewal(s.now(), durableWaitLimit))
+	limit := s.untilRenewal(s.now(), durableWaitLimit)
 	s.mu.Unlock()
+	s.awaitHost(ctx, h, limit, func() bool { return h.durableEnd >= h.appliedEnd })
+}
+
+// awaitLeaseAllowed waits until a lease may be granted to h, but no longer than a worker
+// would delay its response.
+func (s *Shard) awaitLeaseAllowed(ctx context.Context, h *host) {
+	s.awaitHost(ctx, h, renewalWait, func() bool { return s.leaseAllowed(h, s.now()) })
+}
+
+// awaitHost waits until done, which is called with the lock held, returns true after a wake
+// of h's follower, until limit has passed or until ctx ends.
+func (s *Shard) awaitHost(ctx context.Context, h *host, limit time.Duration, done func() bool) {
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		done := h.durableEnd >= h.appliedEnd
+		ok := done()
 		s.mu.Unlock()
-		if done {
+		if ok {
 			return
 		}
 		select {
