dispatch: a commit that was retried for long is followed by a new one at once

Cause: after an outage, the commit that was in flight is applied first. It was built before the outage or at its beginning, so it does not open the renewal window again. If nothing else had changed, the next commit, and with it the next lease, waited until half a second after that one. Ruled out: the pauses between attempts; the delay came after the first successful attempt. Change: the heartbeat is due by the time at which the last durable commit was built, not by the time at which it became durable. TestGuaranteedOutageWhileEndsWait used the bound of the wait for durable ends, which no longer determines the last lease. Conclusion: open is that an owner which is woken shortly before a heartbeat is due sends the next one half a second later.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -104,7 +104,7 @@
 		s.plan(s.now())
 		b := s.buildBatch()
 		s.mu.Unlock()
-		if b.empty() && !b.heartbeatDue && s.now()-s.lastCommit < heartbeatInterval*9/10 {
+		if b.empty() && !b.heartbeatDue && s.now()-s.lastCommitBuiltAt < heartbeatInterval*9/10 {
 			s.applyCommitted(ctx, b, fleet.TxResult{})
 			continue
 		}
--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -426,7 +426,7 @@
 // TestGuaranteedOutageWhileEndsWait is the same for the longest outage that runs survive
 // whatever the phase of heartbeats, renewals and commit attempts.
 func TestGuaranteedOutageWhileEndsWait(t *testing.T) {
-	testOutageWhileEndsWait(t, LeaseRenewalWindow+maxLease-durableWaitLimit-commitTimeout-commitRetryMax-heartbeatInterval)
+	testOutageWhileEndsWait(t, LeaseRenewalWindow+maxLease-lastRenewalLead-commitTimeout-commitRetryMax-heartbeatInterval-2*minCommitInterval)
 }
 
 // testOutageWhileEndsWait checks that a long-running task runs through an outage of the store
@@ -545,3 +545,19 @@
 		})
 	}
 }
+
+// TestLateCommitIsFollowedByAFreshOne: a commit that was built before the renewal window closed
+// does not open it again. The next one must not wait for the heartbeat interval.
+func TestLateCommitIsFollowedByAFreshOne(t *testing.T) {
+	outagePhases(t, func(tc *testCluster) {
+		time.Sleep(9 * time.Second)
+		clearStoreFault(tc)
+		time.Sleep(commitTimeout + commitRetryMax + 3*minCommitInterval)
+		s := tc.shard()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if since := s.now() - s.lastCommitBuiltAt; since > commitTimeout+commitRetryMax+3*minCommitInterval {
+			tc.t.Errorf("the last durable commit was built %s ago, before the store was back", since)
+		}
+	})
+}
