--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -104,7 +104,7 @@
 		s.plan(s.now())
 		b := s.buildBatch()
 		s.mu.Unlock()
-		if b.empty() && !b.heartbeatDue && s.now()-s.lastCommit < heartbeatInterval*9/10 {
+		if b.empty() && !b.heartbeatDue && s.now()-s.lastCommitBuiltAt < heartbeatInterval*9/10 {
 			s.applyCommitted(ctx, b, fleet.TxResult{})
 			continue
 		}
@@ -391,10 +391,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if res.Version > 0 {
+		allowsLeases := s.now()-s.lastCommitBuiltAt >= LeaseRenewalWindow || len(s.publishedExpiries) > 0
 		s.heartbeat, s.heartbeatVersion = b.heartbeat, res.Version
 		clear(s.publishedExpiries)
 		s.recordPublishedExpiries(b.heartbeat.LeaseExpiries)
 		s.lastCommit, s.lastCommitBuiltAt = s.now(), b.builtAt
+		if allowsLeases {
+			s.wakeFollowers()
+		}
 		s.cfg.Metrics.Committed(s.lastCommit-b.startedAt, len(b.jobs))
 		s.setStoreClockLocked(res.Clock)
 		if s.commitsFailingSince > 0 {
