dispatch: long-running tasks are placed and lent in the order of their waits

Cause: interrupted long-running tasks of one priority were placed in the order of their jobs' ids, and borrowers were looked for in the random order of a map, eight at a time. Nothing bounded the wait of the last one: a task with a high id waits as long as others with lower ids come. Change: the wait decides. Tasks for which no borrower was found come after the others, so that the longest waiting ones, which may be too large for any free worker, don't take all turns; 32 tasks are looked at each time in place of eight, still with eight loans in flight. Figures: TestLongestWaitingTaskGetsTheFreeWorker and TestLongestWaitingTasksAreLentFirst failed before and pass.

--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -23,6 +24,8 @@
 	// maxLoansInFlight bounds the tasks on their way to borrowers, whose loads are known
 	// only as of the last ping.
 	maxLoansInFlight = 8
+	// maxLoanOffers bounds the tasks for which a borrower is looked for at one time.
+	maxLoanOffers = 32
 )
 
 // loanState is what the lender knows about the loan of a task.
@@ -61,13 +64,18 @@
 		return false
 	}
 	lent := false
-	for _, o := range s.loanOffers(now) {
+	offers, allowed := s.loanOffers(now)
+	for _, o := range offers {
+		if allowed == 0 {
+			break
+		}
 		shard, why := o.lendTo, ""
 		if shard == "" {
 			// Called without the lock: it takes the locks of shards to read their loads.
 			shard, why = s.cfg.OtherShards.Borrower(&o.request)
 		}
 		if shard != "" {
+			allowed--
 			lent = s.lend(o.task, shard, now) || lent
 		} else {
 			s.keepWaiting(o.task, why, now)
@@ -83,12 +91,14 @@
 	lendTo  string // the borrower, if it has been chosen already
 }
 
-// loanOffers returns some tasks that may be lent, within the limit of loans in flight.
-func (s *Shard) loanOffers(now time.Duration) []loanOffer {
+// loanOffers returns the tasks that may be lent, in the order in which borrowers are looked for,
+// and how many loans may follow the ones in flight. Tasks for which a borrower was looked for
+// already come after the others, so that the longest waiting ones don't take all turns.
+func (s *Shard) loanOffers(now time.Duration) (offers []loanOffer, allowed int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.paused || now-s.loadedAt < firstContact {
-		return nil
+		return nil, 0
 	}
 	var out []loanOffer
 	inFlight := 0
@@ -105,7 +115,16 @@
 			}
 		}
 	}
-	return out[:min(len(out), max(0, maxLoansInFlight-inFlight))]
+	slices.SortFunc(out, func(a, b loanOffer) int {
+		// Tasks that still run come last.
+		return cmp.Or(
+			cmp.Compare(a.task.stage, b.task.stage),
+			cmp.Compare(a.task.lendAt, b.task.lendAt),
+			cmp.Compare(a.task.pendingSince, b.task.pendingSince),
+			cmp.Compare(a.task.name, b.task.name),
+		)
+	})
+	return out[:min(len(out), maxLoanOffers)], max(0, maxLoansInFlight-inFlight)
 }
 
 // mayLend reports whether t may be lent: it has no run and has waited for lendAfter, or its run
--- a/internal/dispatch/long_running_test.go
+++ b/internal/dispatch/long_running_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"skylarkport/internal/contract/fleet"
+	"skylarkport/internal/resource"
 	"skylarkport/internal/workload"
 )
 
@@ -140,3 +142,49 @@
 		}
 	})
 }
+
+// The task that has waited longest gets the worker that becomes free, whatever its id.
+func TestLongestWaitingTaskGetsTheFreeWorker(t *testing.T) {
+	f := newFixture(1)
+	f.cfg.Metrics = noMetrics()
+	size := resource.Vector{MilliCPU: 6000, MemoryMB: 1000}
+	running := f.add("m", "short", workload.Step{Tasks: 1, LongRunning: true, Needs: size})
+	f.plan(f.now)
+	f.confirmRuns()
+	first := f.add("z", "short", workload.Step{Tasks: 1, LongRunning: true, Needs: size})
+	f.now += time.Second
+	second := f.add("a", "short", workload.Step{Tasks: 1, LongRunning: true, Needs: size})
+	f.now += longRunningOverdueAfter + time.Second
+	f.plan(f.now)
+	f.cancelJob(running)
+	f.applyEnds(f.hosts["w0"], []fleet.EndReport{{Number: 1, Task: running.tasks[0][0].name, Run: 1, Kind: fleet.EndStopped}})
+	f.plan(f.now)
+	if f.workerOf(first, 0) != "w0" || f.workerOf(second, 0) != "" {
+		t.Errorf("workers %q and %q of the tasks, want the first to have w0", f.workerOf(first, 0), f.workerOf(second, 0))
+	}
+}
+
+// The longest waiting tasks are lent first, and those that found no borrower after all others.
+func TestLongestWaitingTasksAreLentFirst(t *testing.T) {
+	f := newFixture(0)
+	f.cfg.Metrics = noMetrics()
+	for i := range 2 * maxLoanOffers {
+		j := f.add(fmt.Sprintf("%016x", 99-i), "short", workload.Step{Tasks: 1, LongRunning: true})
+		j.stored, j.movedHere = true, true
+		f.now += time.Second
+	}
+	f.now += lendAfter
+	for round := range 3 {
+		offers, _ := f.loanOffers(f.now)
+		if len(offers) != maxLoanOffers {
+			t.Fatalf("round %d: %d offers, want %d", round, len(offers), maxLoanOffers)
+		}
+		for i, o := range offers {
+			if want := fmt.Sprintf("%016x", 99-(round*maxLoanOffers+i)%(2*maxLoanOffers)); o.task.id.Job != want {
+				t.Errorf("round %d: offer %d is of job %s, want %s", round, i, o.task.id.Job, want)
+			}
+			f.keepWaiting(o.task, "", f.now)
+		}
+		f.now += lendRetry
+	}
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -30,7 +30,9 @@
 	job      *job
 	priority int
 	class    int
-	slack    time.Duration // time left before it must start to end in time; increased for large backfill jobs
+	// slack is the time left before it must start to end in time. It is increased for large
+	// backfill jobs, and is minus the longest wait for long-running tasks.
+	slack time.Duration
 }
 
 // first returns the task that represents the candidate.
@@ -39,6 +41,15 @@
 // step is the step of the candidate's tasks.
 func (c *candidate) step() *workload.Step { return c.tasks[0].step }
 
+// longestWait returns the longest wait of the candidate's tasks.
+func (c *candidate) longestWait(now time.Duration) time.Duration {
+	longest := time.Duration(0)
+	for _, t := range c.tasks {
+		longest = max(longest, now-t.pendingSince)
+	}
+	return longest
+}
+
 // plan places the tasks that can start, in two passes: the first places backfill tasks only
 // where they add little utilisation to services, the second places the remaining ones
 // wherever they fit. The caller holds the lock.
@@ -260,6 +271,7 @@
 	}
 	if j.spec.Steps[step].LongRunning {
 		c.class = classLongRunning
+		c.slack = -c.longestWait(s.now())
 		if s.now()-c.first().pendingSince > longRunningOverdueAfter || slices.ContainsFunc(c.tasks, (*task).interrupted) {
 			c.class = classOverdue
 		}
