dispatch: a run on a draining worker is stopped only for a place that it can have

Cause: the lists of free workers know nothing of labels, limits per worker and services. Change: only tasks without label and limit per worker are stopped for a loan, only on workers that answer, and only for shards of one service. They reserve no worker of their shard. A worker that drains again begins anew. Conclusion: tasks with a label or a limit per worker run until their worker leaves, as before.

--- a/internal/dispatch/borrower.go
+++ b/internal/dispatch/borrower.go
@@ -29,13 +29,14 @@
 // of a whole shard tells little then, as the tasks in its queue count and a single worker may be
 // free all the same. A shard with a free worker is taken first. If the own shard has no worker
 // on which the task fits even once all short runs have ended, a shard that has one is taken.
-// A task that still runs is only given to a shard in which nothing waits for the free worker:
-// its run would be stopped, and then wait behind a queue.
+// A task that still runs is only given to a shard in which nothing waits for the free worker,
+// and whose workers are all of one service, as the lists don't tell services apart: its run is
+// stopped first, and must not be stopped for a place that it does not get.
 func ChooseBorrower(r *LoanRequest, own *Load, loads map[string]Load, names []string) string {
 	need := r.step().Committed()
 	names = slices.DeleteFunc(slices.Clone(names), func(name string) bool { return slices.Contains(r.RefusedBy, name) })
 	name := leastLoaded(loads, names, func(l *Load) bool {
-		return fitsListed(l.FreeWorkers, need) && (!r.Running || l.Utilisation(need.MilliCPU) <= 1)
+		return fitsListed(l.FreeWorkers, need) && (!r.Running || len(l.Services) == 1 && l.Utilisation(need.MilliCPU) <= 1)
 	})
 	if name != "" || r.Running {
 		return name
--- a/internal/dispatch/borrower_test.go
+++ b/internal/dispatch/borrower_test.go
@@ -11,7 +11,7 @@
 // shardLoad returns the load of a shard of ten workers of 64 cores. The pairs are the CPU that
 // is free on its workers, and the CPU that is free there once all short runs have ended.
 func shardLoad(committed int64, workers ...[2]int64) Load {
-	l := Load{Capacity: 640_000, Committed: committed}
+	l := Load{Capacity: 640_000, Committed: committed, Services: []string{"svc"}}
 	for _, w := range workers {
 		l.FreeWorkers = listWorker(l.FreeWorkers, resource.Vector{MilliCPU: w[0], MemoryMB: 100_000})
 		l.SpareWorkers = listWorker(l.SpareWorkers, resource.Vector{MilliCPU: w[1], MemoryMB: 100_000})
--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -107,7 +107,7 @@
 			continue
 		}
 		for _, t := range j.tasks[0] {
-			if t.Phase == workload.Lent && !t.loan.stored || t.Phase == workload.Placed && t.lendTo != "" {
+			if t.Phase == workload.Lent && !t.loan.stored || t.lendTo != "" && s.reachable(t) {
 				inFlight++
 			}
 			if leaving := s.mayLeave(t, now); leaving || s.mayLend(t, now) {
@@ -136,11 +136,22 @@
 	return t.lendable()
 }
 
-// mayLeave reports whether the run of t may be stopped for a loan: its worker drains and no
-// other worker of this shard is free for it.
+// mayLeave reports whether the run of t may be stopped for a loan: its worker drains, no other
+// worker of this shard is free for it, and the loads of other shards tell whether they can run it.
 func (s *Shard) mayLeave(t *task, now time.Duration) bool {
+	if t.stage != stageRunning || !t.drainKept || t.stopWanted || now < t.lendAt || !s.reachable(t) {
+		return false
+	}
+	return s.hosts[t.Worker].Draining && t.step.MaxPerWorker == 0 && t.step.Label == "" && t.lendable()
+}
+
+// reachable reports whether the worker of t answers, or t has none.
+func (s *Shard) reachable(t *task) bool {
+	if t.Phase != workload.Placed {
+		return true
+	}
 	h := s.hosts[t.Worker]
-	return t.stage == stageRunning && t.drainKept && !t.stopWanted && now >= t.lendAt && h != nil && h.Draining && t.lendable()
+	return h != nil && h.unreachableSince == 0
 }
 
 // lendable reports whether t is a long-running task of a job that cannot move as a whole.
@@ -169,8 +180,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.mayLeave(t, now) {
-		t.lendTo, t.stopWanted = shard, true
-		s.sendStopIfDue(t, s.hosts[t.Worker], now)
+		s.stopForLoan(t, shard, now)
 		return false
 	}
 	if !s.mayLend(t, now) {
@@ -185,6 +195,13 @@
 	return true
 }
 
+// stopForLoan stops the run of t on a draining worker. The task is lent to the shard once the run
+// has ended.
+func (s *Shard) stopForLoan(t *task, shard string, now time.Duration) {
+	t.lendTo, t.stopWanted = shard, true
+	s.sendStopIfDue(t, s.hosts[t.Worker], now)
+}
+
 // keepWaiting records that no shard has capacity for t, and why. Shards that returned it are
 // asked again later.
 func (s *Shard) keepWaiting(t *task, why string, now time.Duration) {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -139,7 +139,8 @@
 	}
 }
 
-// runsToMigrate returns the runs on draining workers that lose little by a stop:
+// runsToMigrate returns the runs on draining workers that are to continue on other workers of
+// this shard because they lose little by a stop:
 // long-running ones, which are back at work sooner elsewhere, and those with checkpoints.
 // Runs that are being stopped come first, so that they keep the slots reserved for them.
 func (s *Shard) runsToMigrate() []*task {
@@ -149,7 +150,7 @@
 			continue
 		}
 		for _, t := range h.tasks {
-			if t.stage == stageRunning && (t.step.LongRunning || t.step.Checkpoints) {
+			if t.stage == stageRunning && t.lendTo == "" && (t.step.LongRunning || t.step.Checkpoints) {
 				out = append(out, t)
 			}
 		}
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -120,6 +120,9 @@
 		s.handleRestart(h, w.Incarnation)
 	case h.Draining != w.Draining:
 		logger.WithField("worker", w.ID).WithField("draining", w.Draining).Info("worker started or stopped draining")
+		for _, t := range h.tasks {
+			t.drainKept = false // the next plan looks for another worker
+		}
 	}
 	incarnation := max(h.Incarnation, w.Incarnation)
 	h.Worker, h.listed = w, true
