dispatch: a job with any run so far is lent task by task, not kept for ever

Cause: a job moves whole only while no task has a run number, and its tasks are lent only once a run has been seen. After a takeover a single first run that was never reported, or after a rejected first start, neither held: the task waited in its shard for good, with free workers in others. Change: one predicate for both; a job that may not move is lent.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"skylarkport/internal/contract/fleet"
@@ -191,6 +192,19 @@
 	}
 }
 
+// started reports whether a task of j may have had a run, so that j cannot move as a whole.
+func (j *job) started() bool {
+	if j.hasRun {
+		return true
+	}
+	for _, tasks := range j.tasks {
+		if slices.ContainsFunc(tasks, func(t *task) bool { return t.Run > 0 }) {
+			return true
+		}
+	}
+	return false
+}
+
 // placed counts the runs of j that may exist, here or at borrowers.
 func (j *job) placed() int {
 	n := 0
--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -157,7 +157,7 @@
 // lendable reports whether t is a long-running task of a job that cannot move as a whole.
 func (t *task) lendable() bool {
 	j := t.job
-	return t.step.LongRunning && !t.step.Gang && j.stored && j.active() && j.loan == nil && !j.spec.Timed() && (j.hasRun || j.movedHere)
+	return t.step.LongRunning && !t.step.Gang && j.stored && j.active() && j.loan == nil && !j.spec.Timed() && (j.started() || j.movedHere)
 }
 
 // newLoan returns the job that a borrower stores for t.
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -127,10 +127,10 @@
 // mayMove reports whether j may move: it has never had a run, has waited for moveAfter, and
 // has not been moved before.
 func (s *Shard) mayMove(j *job, now time.Duration) bool {
-	if !j.stored || j.dirty || !j.active() || j.hasRun || j.movedHere || j.loan != nil || j.spec.Timed() || len(j.tasks[0]) == 0 {
+	if !j.stored || j.dirty || !j.active() || j.movedHere || j.loan != nil || j.spec.Timed() || len(j.tasks[0]) == 0 {
 		return false
 	}
-	return j.tasks[0][0].Run == 0 && j.placed() == 0 && now-j.tasks[0][0].pendingSince > moveAfter
+	return !j.started() && now-j.tasks[0][0].pendingSince > moveAfter
 }
 
 // deliverMoved starts the delivery of j, whose move has become durable, unless it is
