dispatch: the second choice of a borrower goes by places, not by counts

Cause: a shard whose workers are held by short runs was lent nothing while any long-running task waited there, also one that fits nowhere and waits for good; and nothing was lent while an own worker would be free later, also one that the step's label or limit per worker excludes. Change: waiting long-running tasks take their places on the listed workers of their shard, in place of a count. Whether a task fits here later is decided by the lender with all its filters, each offered task taking its place from the next.

--- a/internal/dispatch/borrower.go
+++ b/internal/dispatch/borrower.go
@@ -16,6 +16,7 @@
 type LoanRequest struct {
 	Spec      workload.Spec // the job that the borrower would store: one step of one task
 	Running   bool          // the task still runs, on a draining worker
+	FitsLater bool          // it fits on a worker of its shard once short runs there have ended
 	RefusedBy []string      // shards that returned the task
 }
 
@@ -32,7 +33,7 @@
 // A task that still runs is only given to a shard in which nothing waits for the free worker,
 // and whose workers are all of one service, as the lists don't tell services apart: its run is
 // stopped first, and must not be stopped for a place that it does not get.
-func ChooseBorrower(r *LoanRequest, own *Load, loads map[string]Load, names []string) string {
+func ChooseBorrower(r *LoanRequest, loads map[string]Load, names []string) string {
 	need := r.step().Committed()
 	names = slices.DeleteFunc(slices.Clone(names), func(name string) bool { return slices.Contains(r.RefusedBy, name) })
 	name := leastLoaded(loads, names, func(l *Load) bool {
@@ -45,7 +46,7 @@
 		if len(l.SpareWorkers) == 0 {
 			return l.Utilisation(need.MilliCPU) <= maxBorrowerLoad
 		}
-		return l.WaitingLongRunning == 0 && fitsListed(l.SpareWorkers, need) && !fitsListed(own.SpareWorkers, need)
+		return !r.FitsLater && fitsListed(l.SpareWorkers, need)
 	})
 }
 
--- a/internal/dispatch/borrower_test.go
+++ b/internal/dispatch/borrower_test.go
@@ -28,31 +28,30 @@
 func TestChooseBorrower(t *testing.T) {
 	full := shardLoad(640_000, [2]int64{0, 0})
 	waiting := shardLoad(600_000, [2]int64{0, 30_000})
-	waiting.WaitingLongRunning = 1
+	waiting.SpareWorkers = reserveListed(waiting.SpareWorkers, resource.Vector{MilliCPU: 20_000})
 	littleMemory := shardLoad(600_000)
 	littleMemory.FreeWorkers = []WorkerCapacity{{MilliCPU: 30_000, MemoryMB: 100}}
 	littleMemory.SpareWorkers = littleMemory.FreeWorkers
 	for _, c := range []struct {
 		name    string
-		own     Load
 		loads   map[string]Load
-		running bool
+		request LoanRequest
 		want    string
 	}{
-		{"free worker in a shard with a queue", full, map[string]Load{"a": shardLoad(800_000, [2]int64{16_000, 16_000}), "b": full}, false, "a"},
-		{"less loaded of two with a free worker", full, map[string]Load{"a": shardLoad(800_000, [2]int64{16_000, 16_000}), "b": shardLoad(700_000, [2]int64{13_000, 13_000})}, false, "b"},
-		{"free worker before a less loaded shard with short runs", full, map[string]Load{"a": shardLoad(640_000, [2]int64{16_000, 16_000}), "b": shardLoad(500_000, [2]int64{0, 64_000})}, false, "a"},
-		{"short runs in another shard", full, map[string]Load{"a": shardLoad(900_000, [2]int64{0, 30_000}), "b": full}, false, "a"},
-		{"short runs in the own shard too", shardLoad(900_000, [2]int64{0, 20_000}), map[string]Load{"a": shardLoad(900_000, [2]int64{0, 30_000})}, false, ""},
-		{"short runs where long-running tasks wait already", full, map[string]Load{"a": waiting}, false, ""},
-		{"no worker is large enough", full, map[string]Load{"a": shardLoad(500_000, [2]int64{9_000, 9_000}, [2]int64{9_000, 9_000})}, false, ""},
-		{"no worker has enough memory", full, map[string]Load{"a": littleMemory}, false, ""},
-		{"earlier version below the limit", full, map[string]Load{"a": {Capacity: 640_000, Committed: 590_000}}, false, "a"},
-		{"earlier version above the limit", full, map[string]Load{"a": {Capacity: 640_000, Committed: 600_000}}, false, ""},
-		{"running task, free worker and no queue", full, map[string]Load{"a": shardLoad(600_000, [2]int64{16_000, 16_000})}, true, "a"},
-		{"running task, free worker in a shard with a queue", full, map[string]Load{"a": shardLoad(800_000, [2]int64{16_000, 16_000})}, true, ""},
-		{"running task, short runs in another shard", full, map[string]Load{"a": shardLoad(600_000, [2]int64{0, 30_000})}, true, ""},
-		{"no shard", full, nil, false, ""},
+		{"free worker in a shard with a queue", map[string]Load{"a": shardLoad(800_000, [2]int64{16_000, 16_000}), "b": full}, LoanRequest{}, "a"},
+		{"less loaded of two with a free worker", map[string]Load{"a": shardLoad(800_000, [2]int64{16_000, 16_000}), "b": shardLoad(700_000, [2]int64{13_000, 13_000})}, LoanRequest{}, "b"},
+		{"free worker before a less loaded shard with short runs", map[string]Load{"a": shardLoad(640_000, [2]int64{16_000, 16_000}), "b": shardLoad(500_000, [2]int64{0, 64_000})}, LoanRequest{}, "a"},
+		{"short runs in another shard", map[string]Load{"a": shardLoad(900_000, [2]int64{0, 30_000}), "b": full}, LoanRequest{}, "a"},
+		{"short runs in the own shard too", map[string]Load{"a": shardLoad(900_000, [2]int64{0, 30_000})}, LoanRequest{FitsLater: true}, ""},
+		{"short runs where long-running tasks wait already", map[string]Load{"a": waiting}, LoanRequest{}, ""},
+		{"no worker is large enough", map[string]Load{"a": shardLoad(500_000, [2]int64{9_000, 9_000}, [2]int64{9_000, 9_000})}, LoanRequest{}, ""},
+		{"no worker has enough memory", map[string]Load{"a": littleMemory}, LoanRequest{}, ""},
+		{"earlier version below the limit", map[string]Load{"a": {Capacity: 640_000, Committed: 590_000}}, LoanRequest{}, "a"},
+		{"earlier version above the limit", map[string]Load{"a": {Capacity: 640_000, Committed: 600_000}}, LoanRequest{}, ""},
+		{"running task, free worker and no queue", map[string]Load{"a": shardLoad(600_000, [2]int64{16_000, 16_000})}, LoanRequest{Running: true}, "a"},
+		{"running task, free worker in a shard with a queue", map[string]Load{"a": shardLoad(800_000, [2]int64{16_000, 16_000})}, LoanRequest{Running: true}, ""},
+		{"running task, short runs in another shard", map[string]Load{"a": shardLoad(600_000, [2]int64{0, 30_000})}, LoanRequest{Running: true}, ""},
+		{"no shard", nil, LoanRequest{}, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			names := []string{}
@@ -61,8 +60,8 @@
 			}
 			slices.Sort(names)
 			r := loanRequest(12_000, 20_000)
-			r.Running = c.running
-			if got := ChooseBorrower(r, &c.own, c.loads, names); got != c.want {
+			r.Running, r.FitsLater = c.request.Running, c.request.FitsLater
+			if got := ChooseBorrower(r, c.loads, names); got != c.want {
 				t.Errorf("shard %q, want %q", got, c.want)
 			}
 		})
@@ -75,7 +74,7 @@
 	l := reported
 	r := loanRequest(12_000, 0)
 	for sent, want := range []string{"a", "a", "a", ""} {
-		if got := ChooseBorrower(r, &Load{}, map[string]Load{"a": l}, []string{"a"}); got != want {
+		if got := ChooseBorrower(r, map[string]Load{"a": l}, []string{"a"}); got != want {
 			t.Errorf("after %d tasks: shard %q, want %q", sent, got, want)
 		}
 		l.Add(&r.Spec)
--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -18,14 +18,13 @@
 	// images that have no entry.
 	BackfillCapacity []ImageCapacity `json:"rooms,omitempty"`
 	// FreeWorkers holds the free capacity of the workers with the most free CPU, and
-	// SpareWorkers the same without the runs that end by themselves. They are empty in the
-	// load of an instance of an earlier version.
+	// SpareWorkers the same once the runs that end by themselves have ended and the waiting
+	// long-running tasks are placed. They are empty in the load of an instance of an earlier
+	// version.
 	FreeWorkers  []WorkerCapacity `json:"free,omitempty"`
 	SpareWorkers []WorkerCapacity `json:"spare,omitempty"`
-	// WaitingLongRunning is the number of long-running tasks that wait for a worker.
-	WaitingLongRunning int      `json:"wlr,omitempty"`
-	Racks              []string `json:"racks,omitempty"`
-	Services           []string `json:"services,omitempty"`
+	Racks        []string         `json:"racks,omitempty"`
+	Services     []string         `json:"services,omitempty"`
 }
 
 // WorkerCapacity is an amount of capacity of one worker, in a short form for messages.
@@ -152,7 +151,7 @@
 			l.Committed += t.step.Committed().MilliCPU
 		}
 		if waiting && t.step.LongRunning {
-			l.WaitingLongRunning++
+			l.SpareWorkers = reserveListed(l.SpareWorkers, t.step.Committed())
 		}
 		if waiting && t.step.Backfill {
 			l.BackfillDemand += t.step.Needs.MilliCPU
--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -111,7 +111,7 @@
 				inFlight++
 			}
 			if leaving := s.mayLeave(t, now); leaving || s.mayLend(t, now) {
-				out = append(out, loanOffer{t, LoanRequest{t.newLoan(s.cfg.Name).Spec, leaving, slices.Clone(t.refusedBy)}, t.lendTo})
+				out = append(out, loanOffer{t, LoanRequest{Spec: t.newLoan(s.cfg.Name).Spec, Running: leaving, RefusedBy: slices.Clone(t.refusedBy)}, t.lendTo})
 			}
 		}
 	}
@@ -124,7 +124,31 @@
 			cmp.Compare(a.task.name, b.task.name),
 		)
 	})
-	return out[:min(len(out), maxLoanOffers)], max(0, maxLoansInFlight-inFlight)
+	out = out[:min(len(out), maxLoanOffers)]
+	s.markFitsLater(out, now)
+	return out, max(0, maxLoansInFlight-inFlight)
+}
+
+// markFitsLater sets FitsLater of the offered tasks that find a worker of this shard once the
+// short runs there have ended. Each takes its place from the later ones.
+func (s *Shard) markFitsLater(offers []loanOffer, now time.Duration) {
+	if len(offers) == 0 {
+		return
+	}
+	slots := s.slots(now)
+	for _, sl := range slots {
+		sl.free = sl.free.Add(sl.host.finiteRunsCapacity())
+	}
+	cfg := s.cfg.Config()
+	for i := range offers {
+		t := offers[i].task
+		q := queueOf(cfg, t.job)
+		found := slices.IndexFunc(slots, func(sl *slot) bool { return canPlace(t, q, sl) })
+		if found >= 0 {
+			slots[found].reserve(t)
+			offers[i].request.FitsLater = true
+		}
+	}
 }
 
 // mayLend reports whether t may be lent: it has no run and has waited for lendAfter, or its run
--- a/internal/dispatch/lend_test.go
+++ b/internal/dispatch/lend_test.go
@@ -143,11 +143,10 @@
 		return names[0], ""
 	}
 	loads := map[string]Load{}
-	for _, name := range v.net.names {
+	for _, name := range names {
 		loads[name] = v.net.shards[name].shard().Load()
 	}
-	own := loads[v.own]
-	return ChooseBorrower(r, &own, loads, names), "loads"
+	return ChooseBorrower(r, loads, names), "loads"
 }
 
 func (v *view) Lend(ctx context.Context, shard string, a workload.Accepted) error {
--- a/internal/dispatch/lend_wait_test.go
+++ b/internal/dispatch/lend_wait_test.go
@@ -1,10 +1,12 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"skylarkport/internal/fleetfake"
+	"skylarkport/internal/workload"
 )
 
 // The only run of a job counts as a run for the next owner, too.
@@ -48,3 +50,47 @@
 		a.awaitRuns("bb", 1, 30*time.Second)
 	})
 }
+
+// A long-running task that is too large for every worker does not keep a shard from being lent others.
+func TestTaskThatFitsNowhereDoesNotCloseAShard(t *testing.T) {
+	withShards(t, []int{2, 2}, func(net *shardNet) {
+		net.byLoad = true
+		a, b := net.shards["a"], net.shards["b"]
+		a.workers.SetDuration(func(task string) time.Duration {
+			if id, err := workload.ParseTaskID(task); err == nil && id.Job == "aa" {
+				return time.Hour
+			}
+			return 500 * time.Millisecond
+		})
+		full := longRunningJob("aa", 4, 4000)
+		a.submit(full)
+		a.awaitRuns(full.ID, 4, time.Second)
+		b.submit(longRunningJob("zz", 1, 9000))
+		for i := range 20 {
+			b.submit(jobWithSteps(fmt.Sprintf("b%02d", i), "short", 30))
+		}
+		a.workers.Kill("a00")
+		a.awaitRuns(full.ID, 4, lostAfter)
+	})
+}
+
+// Workers here that have a task of the step already are no reason to keep another one.
+func TestOwnWorkersThatTheStepMayNotUse(t *testing.T) {
+	withShards(t, []int{2, 2}, func(net *shardNet) {
+		net.byLoad = true
+		a, b := net.shards["a"], net.shards["b"]
+		a.workers.SetDuration(func(task string) time.Duration {
+			if id, err := workload.ParseTaskID(task); err == nil && id.Job[0] == 'a' {
+				return time.Hour
+			}
+			return 500 * time.Millisecond
+		})
+		for i := range 20 {
+			b.submit(jobWithSteps(fmt.Sprintf("b%02d", i), "short", 30))
+		}
+		spec := longRunningJob("aa", 3, 4000)
+		spec.Steps[0].MaxPerWorker = 1
+		a.submit(spec)
+		a.awaitRuns(spec.ID, 3, lostAfter)
+	})
+}
--- a/internal/node/choice.go
+++ b/internal/node/choice.go
@@ -151,8 +151,7 @@
 // borrower returns the other shard that should run the task of the loan, or "".
 func (c *shardSelector) borrower(r *dispatch.LoanRequest) string {
 	names := slices.DeleteFunc(c.shardsWithService(), func(name string) bool { return name == c.own })
-	own := c.loads[c.own]
-	return dispatch.ChooseBorrower(r, &own, c.loads, names)
+	return dispatch.ChooseBorrower(r, c.loads, names)
 }
 
 // describeLoads lists the other shards of the service with the load that the task of the loan
