dispatch: a new owner lends the task of a job of which it has seen no run

Callers see: a long-running task whose worker was lost around a change of the owner has no run for as long as its own shard is full, whatever is free in other shards. Cause: only tasks of jobs that have run are lent, as other jobs move as a whole. A new owner takes a job to have run if a task is at its second run, is done or is lent. A job whose only run was on the lost worker counted as one that never ran, and so could not be lent; and because its run had a number, it could not move either. Ruled out: the expiry of the lease (the task was pending for 44.9 s). The choice of the borrower was not looked at by itself; it is unchanged, and the task is lent with this change. Change: a task with an earlier run may be lent. Such a job still cannot move at the same time: a lent task counts as placed. Conclusion: "has run" is known from what an owner has seen itself, and is lost with it.

--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -125,10 +125,11 @@
 	return t.stage == stageRunning && t.drainKept && !t.stopWanted && now >= t.lendAt && h != nil && h.Draining && t.lendable()
 }
 
-// lendable reports whether t is a long-running task of a job that cannot move as a whole.
+// lendable reports whether t is a long-running task of a job that cannot move as a whole. A new
+// owner knows of the runs before it only by their numbers.
 func (t *task) lendable() bool {
 	j := t.job
-	return t.step.LongRunning && !t.step.Gang && j.stored && j.active() && j.loan == nil && !j.spec.Timed() && (j.hasRun || j.movedHere)
+	return t.step.LongRunning && !t.step.Gang && j.stored && j.active() && j.loan == nil && !j.spec.Timed() && (j.hasRun || j.movedHere || t.interrupted())
 }
 
 // newLoan returns the job that a borrower stores for t.
--- a/internal/dispatch/long_running_test.go
+++ b/internal/dispatch/long_running_test.go
@@ -140,3 +140,18 @@
 		}
 	})
 }
+
+// The new owner has not seen the run that the worker lost, and the task is the only one of its job.
+func TestLostWorkerBesideNewOwner(t *testing.T) {
+	withShards(t, []int{1, 1}, func(net *shardNet) {
+		net.byLoad = true
+		a := net.shards["a"]
+		only := longRunningJob("aa", 1, 8000)
+		a.submit(only)
+		a.awaitRuns(only.ID, 1, time.Second)
+		a.workers.Kill("a00")
+		time.Sleep(2 * time.Second)
+		replaceOwner(a)
+		a.awaitRuns(only.ID, 1, lostAfter-2*time.Second)
+	})
+}
