--- a/internal/fleetfake/workers.go
+++ b/internal/fleetfake/workers.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -476,3 +478,30 @@
 	w.byID[id].advance()
 	return len(w.byID[id].runs)
 }
+
+// WorkerState is what a worker itself knows at one moment.
+type WorkerState struct {
+	ID          string
+	Capacity    resource.Vector
+	AcceptsRuns bool     // live, reachable and not draining
+	Tasks       []string // tasks of the running runs, sorted
+}
+
+// States returns the states of the live workers, ordered by id.
+func (w *Workers) States() []WorkerState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []WorkerState
+	for _, id := range slices.Sorted(maps.Keys(w.byID)) {
+		fw := w.byID[id]
+		if fw.dead {
+			continue
+		}
+		fw.advance()
+		out = append(out, WorkerState{
+			ID: id, Capacity: fw.capacity, AcceptsRuns: !fw.unreachable && !fw.draining,
+			Tasks: slices.Sorted(maps.Keys(fw.runs)),
+		})
+	}
+	return out
+}
