Known red: a worker that is lost just before its shard's owner is replaced

Callers see: a long-running task has no run for more than 11 s though there is capacity for it. Cause: a successor knows the end of the leases of a worker that it cannot reach only if the old owner has stored it. Otherwise it waits for LeaseRenewalWindow (5 s) and a lease (6 s) from the last commit of the old owner, two seconds longer than the nine that the platform allows. Ruled out: loans and the plan (the task still counts as placed on the lost worker). Not mended: a shorter window shortens the store outages that runs survive, which TestRenewalsContinueWhileEndsWait is about; the two bounds have to be chosen together.

--- a/internal/dispatch/long_running_test.go
+++ b/internal/dispatch/long_running_test.go
@@ -155,3 +155,22 @@
 		a.awaitRuns(only.ID, 1, lostAfter-2*time.Second)
 	})
 }
+
+// The old owner is replaced before it can tell by when the leases of the lost worker expire.
+func TestLostWorkerUnnoticedByOldOwner(t *testing.T) {
+	withShards(t, []int{2, 1}, func(net *shardNet) {
+		net.byLoad = true
+		a := net.shards["a"]
+		only := longRunningJob("aa", 1, 8000)
+		a.submit(only)
+		a.awaitRuns(only.ID, 1, time.Second)
+		lost := "a00"
+		if a.workers.RunningOn(lost) == 0 {
+			lost = "a01"
+		}
+		a.workers.Kill(lost)
+		time.Sleep(300 * time.Millisecond)
+		replaceOwner(a)
+		a.awaitRuns(only.ID, 1, lostAfter-300*time.Millisecond)
+	})
+}
