--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -178,7 +178,8 @@
 	return h != nil && h.unreachableSince == 0
 }
 
-// lendable reports whether t is a long-running task of a job that cannot move as a whole.
+// lendable reports whether t is a long-running task of a job that cannot move as a whole. A new
+// owner knows of the runs before it only by their numbers.
 func (t *task) lendable() bool {
 	j := t.job
 	return t.step.LongRunning && !t.step.Gang && j.stored && j.active() && j.loan == nil && !j.spec.Timed() && (j.started() || j.movedHere)
