node: loans to a shard of the same instance take their places

Found by a review. Cause: jobs and loans that were recently sent to a shard are added to its last reported load only if another instance owns it. A shard of the same instance with two free workers was chosen for eight of eight tasks. Change: loans count in both cases. Jobs count only for other instances' shards, as before: an own shard knows them at once.

--- a/internal/node/balance.go
+++ b/internal/node/balance.go
@@ -43,9 +43,7 @@
 	if shard == "" || shard == o.own {
 		return "", false
 	}
-	// Jobs are hashed evenly over the home shards, so each of them is assumed to have sent as
-	// many jobs as this instance did.
-	o.node.owners.addLoad(shard, j, len(o.node.layout.Load().Shards()))
+	o.node.owners.addLoad(shard, j, false)
 	return shard, true
 }
 
@@ -75,7 +73,7 @@
 	if shard = c.borrower(r); shard == "" {
 		return "", c.describeLoads(r)
 	}
-	o.node.owners.addLoad(shard, &r.Spec, 1)
+	o.node.owners.addLoad(shard, &r.Spec, true)
 	return shard, ""
 }
 
@@ -183,28 +181,31 @@
 // shard reports. It covers a ping interval and the transfers of the job and the ping.
 const sentJobTTL = 600 * time.Millisecond
 
-// sentJob is a job that was recently sent to another shard.
+// sentJob is a job or a loan that was recently sent to another shard.
 type sentJob struct {
-	job    *workload.Spec
-	copies int // how many times it counts
-	at     time.Time
+	job  *workload.Spec
+	loan bool
+	at   time.Time
 }
 
-// addLoad adds a moving job or a lent task to its new shard's load, as often as copies says,
-// until the shard reports it.
-func (o *owners) addLoad(shard string, j *workload.Spec, copies int) {
+// addLoad adds a moving job or a loan to its new shard's load until the shard reports it.
+func (o *owners) addLoad(shard string, j *workload.Spec, loan bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	own := o.shards[shard]
-	own.recentlySent = append(own.recentlySent, sentJob{j, copies, time.Now()})
+	own.recentlySent = append(own.recentlySent, sentJob{j, loan, time.Now()})
 }
 
-// load returns the latest reported load of the shard plus the jobs recently sent to it.
-func (own *ownership) load() dispatch.Load {
+// withSent returns the shard's load l plus the loans recently sent to the shard, and the jobs,
+// each as often as jobCopies says.
+func (own *ownership) withSent(l dispatch.Load, jobCopies int) dispatch.Load {
 	own.recentlySent = slices.DeleteFunc(own.recentlySent, func(s sentJob) bool { return time.Since(s.at) > sentJobTTL })
-	l := own.known.Load
 	for _, s := range own.recentlySent {
-		for range s.copies {
+		copies := jobCopies
+		if s.loan {
+			copies = 1
+		}
+		for range copies {
 			l.Add(s.job)
 		}
 	}
@@ -215,14 +216,17 @@
 // shard whose owner reported it within maxLoadAge.
 func (o *owners) loads() map[string]dispatch.Load {
 	out := map[string]dispatch.Load{}
-	for _, own := range o.ownedShards(true) {
-		out[own.Shard] = own.Load
-	}
+	ownedHere := o.ownedShards(true)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	for _, owned := range ownedHere {
+		out[owned.Shard] = o.shards[owned.Shard].withSent(owned.Load, 0) // it knows its jobs already
+	}
 	for name, own := range o.shards {
 		if own.shard == nil && own.known.Epoch > 0 && time.Since(own.lastReport) < maxLoadAge {
-			out[name] = own.load()
+			// Jobs are hashed evenly over the home shards, so each of them is assumed to have
+			// sent as many jobs as this instance did.
+			out[name] = own.withSent(own.known.Load, len(o.shards))
 		}
 	}
 	return out
