dispatch: a rejected start does not restart a task's wait, a lost worker does not return a loan

Found by a review of the wait that includes the lease. Cause: a start that was rejected or not sent made its task pending anew, so a task whose starts are all rejected never waited long enough to be lent. And a borrowed task whose worker was lost counted the wait for the lease, after which it was returned at once, though the borrower had a free worker. Change: the wait of a long-running task goes on after a start without effect; for borrowed tasks it begins when the lease has expired.

--- a/internal/dispatch/commands.go
+++ b/internal/dispatch/commands.go
@@ -32,7 +32,7 @@
 	now := s.now()
 	h := s.hosts[t.Worker]
 	if h == nil || t.stopWanted || !h.fenced || h.Incarnation != t.Incarnation || h.unreachableSince > 0 || s.publishedExpiries[h.ID] {
-		s.returnToPending(t, now) // no start was sent, so no run can exist
+		s.undoPlacement(t, now) // no start was sent, so no run can exist
 		s.wakeCommitLoop()
 		return
 	}
@@ -96,7 +96,7 @@
 	if err != nil && h.unreachableSince == 0 {
 		h.unreachableSince = now
 	}
-	s.returnToPending(t, now)
+	s.undoPlacement(t, now)
 	if r == fleet.CommandUnavailable {
 		s.recordWorkerFailure(h, now, "starts rejected by an overloaded worker")
 	}
@@ -158,7 +158,7 @@
 			if h.leaseExpired(t, now) && t.stage != stagePlanned && t.stage != stageSent {
 				logger.WithField("task", t.name).WithField("run", t.Run).WithField("worker", id).Info("lease expired")
 				s.returnToPending(t, now)
-				if t.step.LongRunning {
+				if t.step.LongRunning && t.job.loan == nil {
 					t.pendingSince = h.unreachableSince // it may have had no run since then
 				}
 				replan = true
--- a/internal/dispatch/lend_wait_test.go
+++ b/internal/dispatch/lend_wait_test.go
@@ -94,3 +94,48 @@
 		a.awaitRuns(spec.ID, 3, lostAfter)
 	})
 }
+
+// A borrowed task whose worker is lost runs on a free worker of the borrower.
+func TestLostWorkerOfBorrowedTask(t *testing.T) {
+	withShards(t, []int{1, 2}, func(net *shardNet) {
+		net.byLoad = true
+		a, b := net.shards["a"], net.shards["b"]
+		spec := spreadJob(2)
+		a.submit(spec)
+		a.awaitRuns(spec.ID, 2, lostAfter)
+		rows := b.acceptedRows()
+		for _, id := range []string{"b00", "b01"} {
+			if a.workers.RunningOn(id) == 1 {
+				a.workers.Kill(id)
+				break
+			}
+		}
+		killed := time.Now()
+		time.Sleep(3 * time.Second)
+		a.awaitRuns(spec.ID, 2, 10*time.Second)
+		t.Logf("runs again after %s", time.Since(killed))
+		time.Sleep(time.Second)
+		if n := b.acceptedRows(); n != rows {
+			t.Errorf("%d loans stored by the borrower, want %d: it has a free worker and need not return the task", n, rows)
+		}
+	})
+}
+
+// A task waits on while its starts are rejected, and is lent.
+func TestWorkerThatRejectsStarts(t *testing.T) {
+	withShards(t, []int{1, 1}, func(net *shardNet) {
+		net.byLoad = true
+		a := net.shards["a"]
+		a.workers.SetFault(func(kind, worker string) fleetfake.Fault {
+			if kind == "start" && worker == "a00" {
+				return fleetfake.Refused
+			}
+			return fleetfake.NoFault
+		})
+		spec := longRunningJob("aa", 1, 4000)
+		if err := a.shard().Accept(a.ctx, workload.Accepted{Spec: spec, Moved: true}); err != nil {
+			t.Fatal(err)
+		}
+		a.awaitRuns(spec.ID, 1, lostAfter)
+	})
+}
--- a/internal/dispatch/renewal.go
+++ b/internal/dispatch/renewal.go
@@ -297,6 +297,16 @@
 	})
 }
 
+// undoPlacement makes t pending again after a start that had no effect. The wait of a
+// long-running task goes on.
+func (s *Shard) undoPlacement(t *task, now time.Duration) {
+	since := t.pendingSince
+	s.returnToPending(t, now)
+	if t.step.LongRunning {
+		t.pendingSince = since
+	}
+}
+
 // returnToPending makes t pending again, once its run is known not to exist.
 func (s *Shard) returnToPending(t *task, now time.Duration) {
 	if h := s.hosts[t.Worker]; h != nil {
