dispatch: interrupted long-running tasks come first within their priority only

Cause: they were placed before tasks of any priority, also while no worker drained, so a batch service that fails again and again kept a job of priority 0 out. Change: interrupted tasks are a class of their own, before the overdue ones of their priority. They go before everything else only in a plan in which workers drain. Conclusion: while workers drain the inversion of priorities remains; it lasts until the runs have left.

--- a/internal/dispatch/lend_wait_test.go
+++ b/internal/dispatch/lend_wait_test.go
@@ -139,3 +139,28 @@
 		a.awaitRuns(spec.ID, 1, lostAfter)
 	})
 }
+
+// An interrupted long-running task does not go before tasks of a higher priority.
+func TestInterruptedTaskOfLowPriorityIsNotFirst(t *testing.T) {
+	withCluster(t, 1, func(tc *testCluster) {
+		tc.workers.SetDuration(func(task string) time.Duration {
+			if id, err := workload.ParseTaskID(task); err == nil && id.Job == "aa" {
+				return 2 * time.Second
+			}
+			return 300 * time.Millisecond
+		})
+		tc.workers.SetFails(func(task string, run int) bool {
+			id, err := workload.ParseTaskID(task)
+			return err == nil && id.Job == "aa"
+		})
+		tc.waitForWorkers()
+		low := longRunningJob("aa", 1, 8000)
+		low.Queue = "batch"
+		tc.submit(low)
+		tc.awaitRuns("aa", 1, time.Second)
+		high := jobWithSteps("bb", "short", 1)
+		high.Steps[0].Needs.MilliCPU = 8000
+		tc.submit(high)
+		tc.await("bb", workload.Completed, 4*time.Second)
+	})
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -12,7 +12,8 @@
 
 // Urgency classes of startable tasks of equal priority, in the order of placement.
 const (
-	classOverdue     = iota // long-running, and has waited for long or was interrupted
+	classInterrupted = iota // long-running, and has run before
+	classOverdue            // long-running, and has waited for long
 	classOnTime             // its job can still end in time; it ends soon and frees its capacity
 	classLongRunning        // long-running; its users wait as long as it does not run
 	classLate               // its job can still end within lateFactor times the allowed time
@@ -65,10 +66,13 @@
 		return
 	}
 	p := s.newPlanPass(startable, now)
-	// Tasks that a drain has interrupted come before the runs that a stop would interrupt.
-	interrupted, startable := splitInterrupted(startable)
-	p.placeAll(interrupted)
-	p.migrateFromDraining(migrating)
+	if len(migrating) > 0 {
+		// Interrupted tasks come before the runs that a stop would interrupt.
+		var interrupted []*candidate
+		interrupted, startable = splitInterrupted(startable)
+		p.placeAll(interrupted)
+		p.migrateFromDraining(migrating)
+	}
 	p.lowInterferenceOnly = true
 	p.placeAll(startable)
 	p.lowInterferenceOnly = false
@@ -273,7 +277,10 @@
 	if j.spec.Steps[step].LongRunning {
 		c.class = classLongRunning
 		c.slack = -c.longestWait(s.now())
-		if s.now()-c.first().pendingSince > longRunningOverdueAfter || slices.ContainsFunc(c.tasks, (*task).interrupted) {
+		switch {
+		case slices.ContainsFunc(c.tasks, (*task).interrupted):
+			c.class = classInterrupted
+		case -c.slack > longRunningOverdueAfter:
 			c.class = classOverdue
 		}
 		return c
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -52,7 +52,7 @@
 		}
 	}
 	if target == nil {
-		if c.class == classOverdue {
+		if c.class <= classOverdue {
 			p.reserveWorker(t, q)
 		}
 		return
