dispatch: the waits of long-running tasks are reported for each shard

An instance that owns several shards reported the waits of whichever shard came last, and kept the last figure after a handover. The gauges are tagged by shard and go to zero when the owner ends.

--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -13,6 +13,7 @@
 
 // Metrics holds the counters and histograms of the shards that an instance owns.
 type Metrics struct {
+	scope                                 tally.Scope
 	commits, commitRefused, commitUnknown tally.Counter
 	commitTime, startWait                 tally.Histogram
 	batchJobs                             tally.Counter
@@ -23,31 +24,29 @@
 	quarantined, preempted                tally.Counter
 	lent, returned                        tally.Counter
 	longRunningWait                       tally.Histogram
-	longRunningWaiting, longestWait       tally.Gauge
 }
 
 // NewMetrics registers the metrics in scope.
 func NewMetrics(scope tally.Scope) *Metrics {
 	m := &Metrics{
-		commits:            scope.Counter("commits"),
-		commitRefused:      scope.Counter("commits_refused"),
-		commitUnknown:      scope.Counter("commits_unknown"),
-		commitTime:         scope.Histogram("commit_seconds", latencies),
-		startWait:          scope.Histogram("start_wait_seconds", latencies),
-		batchJobs:          scope.Counter("commit_jobs"),
-		starts:             scope.Counter("starts"),
-		startUnanswered:    scope.Counter("starts_unknown"),
-		renewalFailed:      scope.Counter("holds_failed"),
-		missingRuns:        scope.Counter("runs_vanished"),
-		quarantined:        scope.Counter("workers_set_aside"),
-		preempted:          scope.Counter("runs_preempted"),
-		lent:               scope.Counter("tasks_lent"),
-		returned:           scope.Counter("loans_returned"),
-		longRunningWait:    scope.Histogram("long_running_wait_seconds", latencies),
-		longRunningWaiting: scope.Gauge("long_running_waiting"),
-		longestWait:        scope.Gauge("long_running_longest_wait_seconds"),
-		startRejected:      map[fleet.CommandResult]tally.Counter{},
-		ends:               map[fleet.EndKind]tally.Counter{},
+		scope:           scope,
+		commits:         scope.Counter("commits"),
+		commitRefused:   scope.Counter("commits_refused"),
+		commitUnknown:   scope.Counter("commits_unknown"),
+		commitTime:      scope.Histogram("commit_seconds", latencies),
+		startWait:       scope.Histogram("start_wait_seconds", latencies),
+		batchJobs:       scope.Counter("commit_jobs"),
+		starts:          scope.Counter("starts"),
+		startUnanswered: scope.Counter("starts_unknown"),
+		renewalFailed:   scope.Counter("holds_failed"),
+		missingRuns:     scope.Counter("runs_vanished"),
+		quarantined:     scope.Counter("workers_set_aside"),
+		preempted:       scope.Counter("runs_preempted"),
+		lent:            scope.Counter("tasks_lent"),
+		returned:        scope.Counter("loans_returned"),
+		longRunningWait: scope.Histogram("long_running_wait_seconds", latencies),
+		startRejected:   map[fleet.CommandResult]tally.Counter{},
+		ends:            map[fleet.EndKind]tally.Counter{},
 	}
 	for r, name := range startResultNames {
 		m.startRejected[r] = scope.Tagged(map[string]string{"reason": name}).Counter("starts_rejected")
@@ -120,9 +119,10 @@
 // LongRunningStarted records how long a long-running task waited for its start.
 func (m *Metrics) LongRunningStarted(wait time.Duration) { m.longRunningWait.RecordDuration(wait) }
 
-// LongRunningWaiting records how many long-running tasks have no run, and the longest of
-// their waits.
-func (m *Metrics) LongRunningWaiting(n int, longest time.Duration) {
-	m.longRunningWaiting.Update(float64(n))
-	m.longestWait.Update(longest.Seconds())
+// LongRunningWaiting records how many long-running tasks of a shard have no run, and the longest
+// of their waits.
+func (m *Metrics) LongRunningWaiting(shard string, n int, longest time.Duration) {
+	scope := m.scope.Tagged(map[string]string{"shard": shard})
+	scope.Gauge("long_running_waiting").Update(float64(n))
+	scope.Gauge("long_running_longest_wait_seconds").Update(longest.Seconds())
 }
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -180,6 +180,7 @@
 	err := g.Wait()
 	s.hostWG.Wait()
 	s.failWaiters()
+	s.cfg.Metrics.LongRunningWaiting(s.cfg.Name, 0, 0) // the next owner reports them
 	if cause := context.Cause(ctx); errors.Is(cause, ErrOwnershipLost) {
 		err = cause
 	}
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -25,7 +25,7 @@
 		}
 	}
 	waits := s.longRunningWaits(now)
-	s.cfg.Metrics.LongRunningWaiting(waits.count, waits.longest)
+	s.cfg.Metrics.LongRunningWaiting(s.cfg.Name, waits.count, waits.longest)
 	var idleWithoutServices, idleWithServices, capacity int64
 	runs, backfills, serviceHosts, images := 0, 0, 0, 0
 	var maxFree resource.Vector
