dispatch: a loan whose borrower cannot be reached is ended after a second

Found by a review of what can hold a long-running task for good. Cause: a loan could not be recalled. Tasks lent to a shard whose owner had gone waited for its successor, also those that were stopped for the loan, and eight of them used up the limit of loans in flight for all other shards. Ruled out: a general recall. A call with an unknown outcome, or one of an earlier owner, may have been stored, and the borrower may run the task. Change: the owner that made a loan ends it after a second if each call is known to have had no effect, and looks for another borrower. The connections of the test shards now refuse with the code that the real ones use.

--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -21,6 +21,8 @@
 	// lendRetry is the pause before a task for which no shard has capacity is considered
 	// again.
 	lendRetry = 500 * time.Millisecond
+	// undeliveredLimit is how long a borrower is called that cannot be reached.
+	undeliveredLimit = time.Second
 	// maxLoansInFlight bounds the tasks on their way to borrowers, whose loads are known
 	// only as of the last ping.
 	maxLoansInFlight = 8
@@ -30,8 +32,10 @@
 
 // loanState is what the lender knows about the loan of a task.
 type loanState struct {
-	stored  bool // the borrower has stored it
-	calling bool // the borrower is being called
+	stored      bool          // the borrower has stored it
+	calling     bool          // the borrower is being called
+	madeAt      time.Duration // when this owner made it, 0 if an earlier owner did
+	mayBeStored bool          // a call had an unknown outcome
 }
 
 // lentTask is a task and the number of its loan at some time.
@@ -212,7 +216,7 @@
 		return false
 	}
 	t.Phase, t.Run, t.Worker = workload.Lent, t.Run+1, shard
-	t.loan, t.lendTo, t.drainKept = loanState{}, "", false
+	t.loan, t.lendTo, t.drainKept = loanState{madeAt: now}, "", false
 	t.job.setRunning()
 	s.cfg.Metrics.Lent()
 	logger.WithField("task", t.name).WithField("shard", s.cfg.Name).WithField("to", shard).WithField("loan", t.Run).
@@ -281,13 +285,36 @@
 		return true // returned in the meantime
 	}
 	if err != nil && result.Of(err) != result.LoanBad {
-		return false
+		return s.abandonLoan(l.task, err)
 	}
 	l.task.loan.calling = false
 	done(l, err)
 	return true
 }
 
+// abandonLoan ends a loan that its borrower has not stored for undeliveredLimit, and reports
+// whether it did. The loan must be this owner's, as calls of an earlier owner may have arrived,
+// and no call of it may have an unknown outcome.
+func (s *Shard) abandonLoan(t *task, err error) bool {
+	if t.loan.stored {
+		return false
+	}
+	switch result.Of(err) {
+	case result.NotOwner, result.PeerUnavailable, result.NotReady, result.JobRefused:
+	default:
+		t.loan.mayBeStored = true
+	}
+	if t.loan.mayBeStored || t.loan.madeAt == 0 || s.now()-t.loan.madeAt < undeliveredLimit {
+		return false
+	}
+	logger.WithField("task", t.name).WithField("to", t.Worker).WithError(err).Info("loan abandoned, as its borrower does not answer")
+	t.refusedBy = append(t.refusedBy, t.Worker)
+	waiting := t.pendingSince
+	s.endLoan(t)
+	t.pendingSince = waiting
+	return true
+}
+
 // confirmLoan records that the borrower has stored the loan or, with an error, that it
 // rejected it and never will.
 func (s *Shard) confirmLoan(l lentTask, err error) {
--- a/internal/dispatch/lend_test.go
+++ b/internal/dispatch/lend_test.go
@@ -101,7 +101,7 @@
 	owner := v.net.shards[to].shard()
 	switch fault {
 	case fleetfake.Refused:
-		return errors.New("no connection")
+		return result.Errorf(result.PeerUnavailable, "no connection")
 	case fleetfake.RequestLost:
 		<-ctx.Done()
 		return lost
--- a/internal/dispatch/lend_wait_test.go
+++ b/internal/dispatch/lend_wait_test.go
@@ -164,3 +164,45 @@
 		tc.await("bb", workload.Completed, 4*time.Second)
 	})
 }
+
+// Tasks that were to leave a draining worker for a shard that does not answer run elsewhere.
+func TestBorrowerThatDoesNotAnswer(t *testing.T) {
+	withShards(t, []int{2, 2, 2}, func(net *shardNet) {
+		net.byLoad = true
+		a := net.shards["a"]
+		spec := longRunningJob("aa", 4, 4000)
+		a.submit(spec)
+		a.awaitRuns(spec.ID, 4, time.Second)
+		time.Sleep(firstContact)
+		net.setFault(func(method, _, to string) fleetfake.Fault {
+			if method == "lend" && to == "b" {
+				return fleetfake.Refused
+			}
+			return fleetfake.NoFault
+		})
+		a.workers.Drain("a00")
+		time.Sleep(time.Second)
+		a.awaitRuns(spec.ID, 4, lostAfter)
+	})
+}
+
+// Loans that are not delivered to one shard must not use up the limit of those to others.
+func TestDeadBorrowerDoesNotBlockLoans(t *testing.T) {
+	withShards(t, []int{2, 2, 2}, func(net *shardNet) {
+		net.byLoad = true
+		a := net.shards["a"]
+		spec := longRunningJob("aa", 16, 1000)
+		a.submit(spec)
+		a.awaitRuns(spec.ID, 16, time.Second)
+		more := longRunningJob("ab", 4, 2500)
+		more.Steps[0].MaxPerWorker = 1
+		net.setFault(func(method, _, to string) fleetfake.Fault {
+			if method == "lend" && to == "b" {
+				return fleetfake.Refused
+			}
+			return fleetfake.NoFault
+		})
+		a.workers.Kill("a00")
+		a.awaitRuns(spec.ID, 16, 2*lostAfter)
+	})
+}
