Known red: three waits of long-running tasks that remain

They wait at most some seconds longer than needed, and count as lost only where capacity is free meanwhile.

--- a/internal/dispatch/lend_wait_test.go
+++ b/internal/dispatch/lend_wait_test.go
@@ -206,3 +206,91 @@
 		a.awaitRuns(spec.ID, 16, 2*lostAfter)
 	})
 }
+
+// A takeover while the lease of a lost worker is waited for does not begin the wait anew.
+func TestLostWorkerBeforeTakeover(t *testing.T) {
+	withShards(t, []int{2, 1, 2}, func(net *shardNet) {
+		a, b := net.shards["a"], net.shards["b"]
+		b.submit(longRunningJob("bb", 1, 8000))
+		b.awaitRuns("bb", 1, time.Second)
+		spec := longRunningJob("aa", 4, 4000)
+		a.submit(spec)
+		a.awaitRuns(spec.ID, 4, time.Second)
+		time.Sleep(firstContact)
+		net.setFault(func(string, string, string) fleetfake.Fault { return fleetfake.NoFault })
+		a.workers.SetFails(func(string, int) bool { return true })
+		a.workers.Kill("a00")
+		killed := time.Now()
+		time.Sleep(5500 * time.Millisecond)
+		a.stopOwner()
+		a.takeOver()
+		a.awaitRuns(spec.ID, 4, 40*time.Second)
+		if d := time.Since(killed); d > lostAfter {
+			t.Errorf("runs after %s", d)
+		}
+	})
+}
+
+// A task leaves a draining worker also if runs of lower priority have to be stopped for it.
+func TestDrainBesideRunsOfLowerPriority(t *testing.T) {
+	withShards(t, []int{2, 2}, func(net *shardNet) {
+		net.byLoad = true
+		a, b := net.shards["a"], net.shards["b"]
+		a.workers.SetDuration(func(task string) time.Duration {
+			if id, err := workload.ParseTaskID(task); err == nil && id.Job[0] == 'a' {
+				return time.Hour
+			}
+			n := 0
+			for _, c := range task {
+				n = (n*31 + int(c)) % 397
+			}
+			return 300*time.Millisecond + time.Duration(n)*time.Millisecond
+		})
+		spec := longRunningJob("aa", 1, 4000)
+		a.submit(spec)
+		a.awaitRuns(spec.ID, 1, time.Second)
+		for i := range 40 {
+			a.submit(jobWithSteps(fmt.Sprintf("c%02d", i), "batch", 40))
+			b.submit(jobWithSteps(fmt.Sprintf("b%02d", i), "batch", 40))
+		}
+		time.Sleep(time.Second)
+		w := a.workerOf("aa", 0)
+		a.workers.Drain(w)
+		time.Sleep(10 * time.Second)
+		if a.workerOf("aa", 0) == w {
+			t.Error("the task is still on the draining worker, beside runs of lower priority that may be stopped")
+		}
+		a.workers.Kill(w)
+		lost := time.Now()
+		time.Sleep(100 * time.Millisecond)
+		for a.workerOf("aa", 0) == w && time.Since(lost) < 20*time.Second {
+			time.Sleep(50 * time.Millisecond)
+		}
+		t.Logf("new place after %s", time.Since(lost))
+	})
+}
+
+// A borrowed task on a draining worker goes back to its lender if that has a free worker.
+func TestBorrowedTaskLeavesADrainingWorker(t *testing.T) {
+	withShards(t, []int{2, 1}, func(net *shardNet) {
+		net.byLoad = true
+		a := net.shards["a"]
+		full := longRunningJob("aa", 3, 8000)
+		a.submit(full)
+		a.awaitRuns(full.ID, 3, lostAfter)
+		a.addWorkers("new", 1)
+		time.Sleep(2 * time.Second)
+		a.workers.Drain("b00")
+		time.Sleep(6 * time.Second)
+		if a.workers.RunningOn("b00") != 0 {
+			t.Error("the borrowed task is still on the draining worker, though its lender has a free one")
+		}
+		a.workers.Kill("b00")
+		lost := time.Now()
+		time.Sleep(100 * time.Millisecond)
+		for a.workers.RunningOn("new00") == 0 && time.Since(lost) < 20*time.Second {
+			time.Sleep(50 * time.Millisecond)
+		}
+		t.Logf("runs after %s", time.Since(lost))
+	})
+}
