dispatch: a drain stops runs of lower priority for a long-running task

Cause: a long-running task on a draining worker continued elsewhere only on a worker that happened to be free. Beside a queue of lower priority none ever is; the task ran until its worker left and then waited 5.5 s for its lease, to stop the same runs after that. Change: runs of lower priority are stopped for it within the first allowed waste, which does not grow while the task runs. No worker is reserved for it: many tasks that leave at once would keep all short tasks of their shard out.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -179,10 +179,14 @@
 			t.stopWanted = true
 			continue
 		}
-		sl := p.bestSlot(t, queueOf(cfg, t.job), p.slots, "", nil)
+		q := queueOf(cfg, t.job)
+		sl := p.bestSlot(t, q, p.slots, "", nil)
 		t.drainKept = sl == nil
 		if sl == nil {
 			kept++
+			if q != nil {
+				p.preempt(&candidate{tasks: []*task{t}, job: t.job, class: classLongRunning}, t, q)
+			}
 			continue
 		}
 		sl.reserve(t)
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"skylarkport/internal/contract/fleet"
+	"skylarkport/internal/workload"
 )
 
 const (
@@ -17,8 +18,9 @@
 	maxWasteRatio = 1.0
 )
 
-// preempt frees capacity for t by stopping runs of lower priority on the worker where this
-// discards the least work, if that is within the allowed waste.
+// preempt frees capacity for t, which waits or has to leave a draining worker, by stopping runs
+// of lower priority on the worker where this discards the least work, if that is within the
+// allowed waste.
 func (p *planPass) preempt(c *candidate, t *task, q *fleet.Queue) {
 	s, now := p.s, p.now
 	t.waitReason = waitNoVictims
@@ -34,7 +36,9 @@
 	// The victims must lose less than leastWaste: first the allowed waste, then the least
 	// found so far.
 	leastWaste := maxWasteRatio * float64(t.step.Needs.MilliCPU) * float64(max(t.step.EstimateMillis, minPreemptMillis))
-	leastWaste *= 1 + float64(now-t.pendingSince)/float64(wasteDoublingWait)
+	if t.Phase == workload.Pending {
+		leastWaste *= 1 + float64(now-t.pendingSince)/float64(wasteDoublingWait)
+	}
 	if t.step.LongRunning {
 		leastWaste *= longRunningWorth
 	}
