dispatch: tasks stopped for a loan are lent whatever else is in flight

Cause: a task whose run was stopped for a loan counts as a loan in flight until it is lent, and nothing was lent while the limit was reached. Change: the limit holds for new choices of a borrower only. Tasks stopped for a loan come first. The random walk missed it: its jobs have too few tasks on one worker.

--- a/internal/dispatch/drain_test.go
+++ b/internal/dispatch/drain_test.go
@@ -136,3 +136,20 @@
 		}
 	})
 }
+
+// As many tasks as may be on their way leave a draining worker at once, and all arrive.
+func TestDrainOfAFullShardMovesManyTasks(t *testing.T) {
+	withShards(t, []int{2, 3}, func(net *shardNet) {
+		net.byLoad = true
+		a := net.shards["a"]
+		spec := longRunningJob("aa", 2*maxLoansInFlight, 1000)
+		a.submit(spec)
+		a.awaitRuns(spec.ID, 2*maxLoansInFlight, time.Second)
+		time.Sleep(firstContact)
+		a.workers.Drain("a00")
+		time.Sleep(3 * time.Second)
+		if on, all := a.workers.RunningOn("a00"), a.workers.Running(spec.ID); on != 0 || all != 2*maxLoansInFlight {
+			t.Errorf("%d tasks run, %d of them on the draining worker, want %d and 0", all, on, 2*maxLoansInFlight)
+		}
+	})
+}
--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -61,8 +61,8 @@
 }
 
 // lendWaitingTasks lends long-running tasks that find no worker in this shard, or whose worker
-// drains, to shards that have capacity, and reports whether there were any. From the commit that stores a loan on,
-// this shard may not run the task until the borrower has returned it.
+// drains, to shards that have capacity, and reports whether there were any. From the commit that
+// stores a loan on, this shard may not run the task until the borrower has returned it.
 func (s *Shard) lendWaitingTasks(now time.Duration) bool {
 	if s.cfg.OtherShards == nil {
 		return false
@@ -70,20 +70,21 @@
 	lent := false
 	offers, allowed := s.loanOffers(now)
 	for _, o := range offers {
+		if o.lendTo != "" {
+			lent = s.lend(o.task, o.lendTo, now) || lent // it is among the loans in flight already
+			continue
+		}
 		if allowed == 0 {
-			break
+			continue
 		}
-		shard, why := o.lendTo, ""
+		// Called without the lock: it takes the locks of shards to read their loads.
+		shard, why := s.cfg.OtherShards.Borrower(&o.request)
 		if shard == "" {
-			// Called without the lock: it takes the locks of shards to read their loads.
-			shard, why = s.cfg.OtherShards.Borrower(&o.request)
-		}
-		if shard != "" {
-			allowed--
-			lent = s.lend(o.task, shard, now) || lent
-		} else {
 			s.keepWaiting(o.task, why, now)
+			continue
 		}
+		allowed--
+		lent = s.lend(o.task, shard, now) || lent
 	}
 	return lent
 }
@@ -120,9 +121,9 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b loanOffer) int {
-		// Tasks that still run come last.
 		return cmp.Or(
-			cmp.Compare(a.task.stage, b.task.stage),
+			-cmp.Compare(a.lendTo, b.lendTo),        // those stopped for a loan first
+			cmp.Compare(a.task.stage, b.task.stage), // those that still run last
 			cmp.Compare(a.task.lendAt, b.task.lendAt),
 			cmp.Compare(a.task.pendingSince, b.task.pendingSince),
 			cmp.Compare(a.task.name, b.task.name),
