--- a/internal/dispatch/lend_wait_test.go
+++ b/internal/dispatch/lend_wait_test.go
@@ -56,12 +56,7 @@
 	withShards(t, []int{2, 2}, func(net *shardNet) {
 		net.byLoad = true
 		a, b := net.shards["a"], net.shards["b"]
-		a.workers.SetDuration(func(task string) time.Duration {
-			if id, err := workload.ParseTaskID(task); err == nil && id.Job == "aa" {
-				return time.Hour
-			}
-			return 500 * time.Millisecond
-		})
+		a.setDurations("aa", 500*time.Millisecond)
 		full := longRunningJob("aa", 4, 4000)
 		a.submit(full)
 		a.awaitRuns(full.ID, 4, time.Second)
--- a/internal/dispatch/long_running_test.go
+++ b/internal/dispatch/long_running_test.go
@@ -18,6 +18,16 @@
 	return spec
 }
 
+// setDurations makes the runs of one job last for an hour and all others for d.
+func (tc *testCluster) setDurations(id string, d time.Duration) {
+	tc.workers.SetDuration(func(task string) time.Duration {
+		if t, err := workload.ParseTaskID(task); err == nil && t.Job == id {
+			return time.Hour
+		}
+		return d
+	})
+}
+
 // Draining workers whose tasks fit nowhere keep running them; a stop would only end them sooner.
 func TestDrainStopsNoMoreTasksThanFitElsewhere(t *testing.T) {
 	withCluster(t, 4, func(tc *testCluster) {
@@ -70,12 +80,7 @@
 	withShards(t, []int{2, 2}, func(net *shardNet) {
 		net.byLoad = true
 		a, b := net.shards["a"], net.shards["b"]
-		a.workers.SetDuration(func(task string) time.Duration {
-			if id, err := workload.ParseTaskID(task); err == nil && id.Job == "aa" {
-				return time.Hour
-			}
-			return 500 * time.Millisecond
-		})
+		a.setDurations("aa", 500*time.Millisecond)
 		full := longRunningJob("aa", 4, 4000)
 		a.submit(full)
 		a.awaitRuns(full.ID, 4, time.Second)
