dispatch: one place sets from when a task waits, one load is computed

A task that became pending got the present time as the begin of its wait, and four callers then put another one in its place; the begin is a parameter now. The load line computed the shard's load again beside the one that is kept for a tenth of a second. The condition for a host that may get a new run stood in two places. No behaviour changed, but that committed_mcpu in the load line may be a tenth of a second old. The tests of dispatch and node and the linters pass.

--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -104,19 +104,25 @@
 	if now-s.backfillCapacityAt > backfillCapacityMaxAge && s.cfg.OtherShards != nil {
 		s.backfillCapacity, s.backfillCapacityAt = s.computeBackfillCapacity(now), now
 	}
+	l := s.currentLoad(now)
+	l.BackfillCapacity = s.backfillCapacity
+	return l
+}
+
+// currentLoad returns the load without the backfill capacity, computed at most loadMaxAge ago.
+// The caller holds the lock.
+func (s *Shard) currentLoad(now time.Duration) Load {
 	if now-s.cachedLoadAt > loadMaxAge {
 		s.cachedLoad, s.cachedLoadAt = s.computeLoad(now), now
 	}
-	l := s.cachedLoad
-	l.BackfillCapacity = s.backfillCapacity
-	return l
+	return s.cachedLoad
 }
 
 // computeLoad returns the load without the backfill capacity. The caller holds the lock.
 func (s *Shard) computeLoad(now time.Duration) Load {
 	var l Load
 	for _, h := range s.hosts {
-		if h.acceptsRuns(now) && !s.publishedExpiries[h.ID] {
+		if s.mayPlaceOn(h, now) {
 			free := h.free()
 			l.FreeWorkers = listWorker(l.FreeWorkers, free)
 			l.SpareWorkers = listWorker(l.SpareWorkers, free.Add(h.finiteRunsCapacity()))
--- a/internal/dispatch/commands.go
+++ b/internal/dispatch/commands.go
@@ -157,10 +157,11 @@
 		for _, t := range h.tasks {
 			if h.leaseExpired(t, now) && t.stage != stagePlanned && t.stage != stageSent {
 				logger.WithField("task", t.name).WithField("run", t.Run).WithField("worker", id).Info("lease expired")
-				s.returnToPending(t, now)
+				since := now
 				if t.step.LongRunning && t.job.loan == nil {
-					t.pendingSince = h.unreachableSince // it may have had no run since then
+					since = h.unreachableSince // it may have had no run since then
 				}
+				s.returnToPending(t, since)
 				replan = true
 				continue
 			}
--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -237,12 +237,13 @@
 func (s *Shard) keepWaiting(t *task, why string, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch {
-	case s.mayLend(t, now):
-		t.refusedBy, t.lendAt = nil, now+lendRetry
+	waits := s.mayLend(t, now)
+	if !waits && !s.mayLeave(t, now) {
+		return
+	}
+	t.refusedBy, t.lendAt = nil, now+lendRetry
+	if waits {
 		s.logWait(t, why, now)
-	case s.mayLeave(t, now):
-		t.refusedBy, t.lendAt = nil, now+lendRetry
 	}
 }
 
@@ -265,7 +266,7 @@
 		id := t.newLoan(s.cfg.Name).Spec.ID
 		s.callBorrower(l, "loan not cancelled", func(ctx context.Context) error {
 			return s.cfg.OtherShards.Cancel(ctx, shard, id)
-		}, func(l lentTask, _ error) { s.endLoan(l.task) })
+		}, func(l lentTask, _ error) { s.endLoan(l.task, s.now()) })
 	}
 }
 
@@ -310,9 +311,7 @@
 	}
 	logger.WithField("task", t.name).WithField("to", t.Worker).WithError(err).Info("loan abandoned, as its borrower does not answer")
 	t.refusedBy = append(t.refusedBy, t.Worker)
-	waiting := t.pendingSince
-	s.endLoan(t)
-	t.pendingSince = waiting
+	s.endLoan(t, t.pendingSince)
 	return true
 }
 
@@ -323,18 +322,18 @@
 	if err != nil {
 		logger.WithField("task", t.name).WithField("to", t.Worker).WithError(err).Error("borrower rejected the loan")
 		t.refusedBy = append(t.refusedBy, t.Worker)
-		s.endLoan(t)
+		s.endLoan(t, s.now())
 		return
 	}
 	t.loan.stored, t.job.hasRun = true, true
 	s.settleLoan(l)
 }
 
-// endLoan makes t pending here again, once the borrower has no right to run it any more. The
-// caller holds the lock.
-func (s *Shard) endLoan(t *task) {
+// endLoan makes t pending here again, once the borrower has no right to run it any more. Its wait
+// counts from since. The caller holds the lock.
+func (s *Shard) endLoan(t *task, since time.Duration) {
 	t.loan = loanState{}
-	s.returnToPending(t, s.now())
+	s.returnToPending(t, since)
 	s.wakeCommitLoop()
 }
 
@@ -369,7 +368,6 @@
 		t.refusedBy = append(t.refusedBy, t.Worker)
 	}
 	t.Run, t.Failures, t.Checkpoint = max(t.Run, p.Run), max(t.Failures, p.Failures), p.Checkpoint
-	s.endLoan(t)
-	t.pendingSince -= lendAfter
+	s.endLoan(t, s.now()-lendAfter)
 	logger.WithField("task", t.name).WithField("shard", s.cfg.Name).WithField("run", t.Run).Info("loan returned")
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -27,7 +27,7 @@
 func (s *Shard) slots(now time.Duration) []*slot {
 	var out []*slot
 	for _, h := range s.hosts {
-		if !h.acceptsRuns(now) || s.publishedExpiries[h.ID] {
+		if !s.mayPlaceOn(h, now) {
 			if h.busyUntil > now {
 				s.replanAt(h.busyUntil)
 			}
@@ -51,6 +51,11 @@
 	return out
 }
 
+// mayPlaceOn reports whether new runs may be placed on h and get a lease.
+func (s *Shard) mayPlaceOn(h *host, now time.Duration) bool {
+	return h.acceptsRuns(now) && !s.publishedExpiries[h.ID]
+}
+
 // filter reports whether a host is eligible for a task.
 type filter func(t *task, q *fleet.Queue, sl *slot) bool
 
--- a/internal/dispatch/renewal.go
+++ b/internal/dispatch/renewal.go
@@ -300,20 +300,20 @@
 // undoPlacement makes t pending again after a start that had no effect. The wait of a
 // long-running task goes on.
 func (s *Shard) undoPlacement(t *task, now time.Duration) {
-	since := t.pendingSince
-	s.returnToPending(t, now)
 	if t.step.LongRunning {
-		t.pendingSince = since
+		now = t.pendingSince
 	}
+	s.returnToPending(t, now)
 }
 
-// returnToPending makes t pending again, once its run is known not to exist.
-func (s *Shard) returnToPending(t *task, now time.Duration) {
+// returnToPending makes t pending again, once its run is known not to exist. Its wait counts
+// from since.
+func (s *Shard) returnToPending(t *task, since time.Duration) {
 	if h := s.hosts[t.Worker]; h != nil {
 		delete(h.tasks, t.name)
 	}
 	t.Phase, t.stage = workload.Pending, stageNone
 	t.Worker, t.Incarnation = "", 0
-	t.pendingSince, t.stopWanted = now, false
+	t.pendingSince, t.stopWanted = since, false
 	t.job.dirty = true
 }
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -64,7 +64,7 @@
 	logger.WithField("shard", s.cfg.Name).WithField("waiting", waiting).WithField("waiting_fills", waitingBackfills).
 		WithField("runs", runs).WithField("fills", backfills).WithField("hosts_serving", serviceHosts).WithField("serving_images", images).
 		WithField("idle_open_mcpu", idleWithoutServices).WithField("idle_serving_mcpu", idleWithServices).
-		WithField("capacity_mcpu", capacity).WithField("committed_mcpu", s.computeLoad(now).Committed).
+		WithField("capacity_mcpu", capacity).WithField("committed_mcpu", s.currentLoad(now).Committed).
 		WithField("long_running_mcpu", longRunning).WithField("preemptible_mcpu", batch).
 		WithField("max_free_mcpu", maxFree.MilliCPU).WithField("max_free_mb", maxFree.MemoryMB).
 		WithField("waiting_long_running", waits.count).WithField("longest_wait_ms", waits.longest.Milliseconds()).Info("shard load")
