--- a/internal/dispatch/commands.go
+++ b/internal/dispatch/commands.go
@@ -154,6 +154,10 @@
 		s.refuseUnsentJobs()
 	}
 	for id, h := range s.hosts {
+		if !h.listed && !h.replaced && !h.lossLogged && len(h.tasks) > 0 && h.unreachableSince > 0 && now > h.leasesExpireAt {
+			h.lossLogged = true
+			s.logLoss(h, lossLeaseExpired)
+		}
 		for _, t := range h.tasks {
 			if h.leaseExpired(t, now) && t.stage != stagePlanned && t.stage != stageSent {
 				logger.WithField("task", t.name).WithField("run", t.Run).WithField("worker", id).Info("lease expired")
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -24,6 +24,8 @@
 	maxLeaseUntil    int64         // latest lease end ever sent, on the worker's clock in milliseconds
 	leasesExpireAt   time.Duration // when every lease that may have been granted has expired
 	unreachableSince time.Duration // since when it has been unreachable, 0 if it is reachable
+	replaced         bool          // another worker answers at its address
+	lossLogged       bool          // the loss of the worker with expired leases has been logged
 	appliedEnd       int64         // number of the last run end applied to the jobs
 	durableEnd       int64         // number of the last run end whose effect is durable
 	wake             chan struct{} // signals new runs or newly durable run ends
@@ -190,7 +192,7 @@
 	t.stage, t.stageSince = stagePlanned, now
 	t.stopWanted, t.stopSentAt, t.stopAckedAt = false, 0, 0
 	t.percent, t.progressedAt, t.gauge, t.cpuLimit, t.overTargetSince, t.baseLoadAt = 0, now, 0, 0, 0, 0
-	t.startCPULimit = 0
+	t.startCPULimit, t.settled = 0, false
 	t.lendTo, t.drainKept = "", false
 	h.tasks[t.name] = t
 	t.job.setRunning()
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -55,6 +55,7 @@
 	stage           stage
 	stageSince      time.Duration // when the stage began
 	pendingSince    time.Duration // when it last became pending
+	settled         bool          // the worker answered settleAfter after it had begun the run
 	stopWanted      bool          // the run is to be stopped
 	stopSentAt      time.Duration // when a stop of this run was last sent, 0 for never
 	stopAckedAt     time.Duration // when a stop of this run was first acknowledged, 0 for never
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -23,6 +23,7 @@
 	renewalFailed, missingRuns            tally.Counter
 	quarantined, preempted                tally.Counter
 	lent, returned                        tally.Counter
+	workersLost                           map[lossCause]tally.Counter
 	longRunningWait                       tally.Histogram
 }
 
@@ -47,6 +48,10 @@
 		longRunningWait: scope.Histogram("long_running_wait_seconds", latencies),
 		startRejected:   map[fleet.CommandResult]tally.Counter{},
 		ends:            map[fleet.EndKind]tally.Counter{},
+		workersLost:     map[lossCause]tally.Counter{},
+	}
+	for _, c := range []lossCause{lossRestarted, lossReplaced, lossLeaseExpired} {
+		m.workersLost[c] = scope.Tagged(map[string]string{"cause": string(c)}).Counter("workers_lost")
 	}
 	for r, name := range startResultNames {
 		m.startRejected[r] = scope.Tagged(map[string]string{"reason": name}).Counter("starts_rejected")
@@ -107,6 +112,9 @@
 // Quarantined records that a worker was quarantined.
 func (m *Metrics) Quarantined() { m.quarantined.Inc(1) }
 
+// WorkerLost counts a worker that was lost with its runs.
+func (m *Metrics) WorkerLost(cause lossCause) { m.workersLost[cause].Inc(1) }
+
 // Preempted records n runs that were stopped for a task of higher priority.
 func (m *Metrics) Preempted(n int) { m.preempted.Inc(int64(n)) }
 
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -138,7 +138,7 @@
 // incarnation are gone, but a start on its way may still reach the new one: a stop is sent
 // for each start without a response.
 func (s *Shard) handleRestart(h *host, incarnation int64) {
-	logger.WithField("worker", h.ID).WithField("life", incarnation).WithField("runs", len(h.tasks)).Info("worker has restarted")
+	s.logLoss(h, lossRestarted)
 	h.resetIncarnation(incarnation)
 	for name, late := range h.unansweredStarts {
 		if s.now() < late.until {
--- a/internal/dispatch/renewal.go
+++ b/internal/dispatch/renewal.go
@@ -178,6 +178,10 @@
 		if h.unreachableSince == 0 {
 			h.unreachableSince = now
 		}
+		if report.Refused == fleet.CommandOtherIncarnation && !h.replaced {
+			h.replaced = true
+			s.logLoss(h, lossReplaced)
+		}
 		return
 	}
 	if report.Incarnation > h.Incarnation && h.fenced {
@@ -228,7 +232,7 @@
 			s.stopUnknownRun(h, r)
 			continue
 		}
-		s.observeRun(t, r, now)
+		s.observeRun(t, r, sent, now)
 	}
 	for name, t := range h.tasks {
 		if !listed[name] && t.stage == stageUnconfirmed && sent > t.stageSince && !t.stopWanted {
@@ -246,11 +250,12 @@
 	s.controlTailLatencies(h, now)
 }
 
-// observeRun records what the worker reports about a run of t.
-func (s *Shard) observeRun(t *task, r fleet.RunReport, now time.Duration) {
+// observeRun records what the worker reports about a run of t, in a report requested at sent.
+func (s *Shard) observeRun(t *task, r fleet.RunReport, sent, now time.Duration) {
 	if t.stage != stageRunning {
 		t.confirmRun(now)
 	}
+	t.settled = t.settled || sent-t.stageSince >= settleAfter
 	if r.ProgressPercent != t.percent {
 		t.percent, t.progressedAt = r.ProgressPercent, now
 	}
