--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -34,7 +34,7 @@
 	s.cfg.Metrics.WorkerLost(cause)
 	logger.WithField("shard", s.cfg.Name).WithField("worker", h.ID).WithField("address", h.Address).
 		WithField("cause", string(cause)).WithField("draining", h.Draining).
-		WithField("silent", (s.now() - h.unreachableSince).String()).WithField("runs", len(h.tasks)).
+		WithField("silent", (s.now()-h.unreachableSince).String()).WithField("runs", len(h.tasks)).
 		WithField("new_runs", len(suspects)).WithField("tasks", strings.Join(suspects[:min(len(suspects), maxLoggedSuspects)], " ")).
 		Warn("worker lost")
 }
--- a/internal/fleetfake/workers.go
+++ b/internal/fleetfake/workers.go
@@ -34,10 +34,12 @@
 
 // fakeWorker is a simulated worker.
 type fakeWorker struct {
-	fleet *Workers
-	id    string
-	zone  string
-	rack  string
+	fleet   *Workers
+	id      string
+	address string
+	zone    string
+	rack    string
+	ctx     context.Context // ends the worker's registrations
 
 	incarnation  int64
 	started      time.Time
@@ -50,6 +52,7 @@
 	capacity     resource.Vector
 	draining     bool
 	dead         bool
+	listedUntil  time.Time // when the registration of a crashed worker expires
 	unreachable  bool
 	slowdown     float64 // factor on the duration of runs
 }
@@ -63,6 +66,10 @@
 	byID                map[string]*fakeWorker
 	duration            func(task string) time.Duration
 	fails               func(task string, run int) bool
+	crashes             func(task string) bool
+	gang                func(task string) string
+	crashCount          map[string]int // by task
+	replacements        int
 	fault               func(kind, worker string) Fault
 	lateSurvivesRestart bool
 	violations          []string         // see Violations
@@ -73,7 +80,7 @@
 // NewWorkers returns workers that register in store.
 func NewWorkers(store *Store) *Workers {
 	return &Workers{
-		store: store, byID: map[string]*fakeWorker{}, acknowledged: map[string]int64{},
+		store: store, byID: map[string]*fakeWorker{}, acknowledged: map[string]int64{}, crashCount: map[string]int{},
 		duration: func(string) time.Duration { return 300 * time.Millisecond },
 	}
 }
@@ -81,10 +88,16 @@
 // Add adds a worker and keeps it registered until ctx ends.
 func (w *Workers) Add(ctx context.Context, id, zone, rack string, capacity resource.Vector) {
 	w.mu.Lock()
-	fw := &fakeWorker{fleet: w, id: id, zone: zone, rack: rack, capacity: capacity, slowdown: 1}
+	defer w.mu.Unlock()
+	w.start(&fakeWorker{fleet: w, id: id, address: id, zone: zone, rack: rack, ctx: ctx, capacity: capacity, slowdown: 1})
+}
+
+// start begins the first incarnation of fw and registers it until its context ends. The caller
+// holds the lock.
+func (w *Workers) start(fw *fakeWorker) {
 	fw.restart()
-	w.byID[id] = fw
-	w.mu.Unlock()
+	w.byID[fw.id] = fw
+	ctx := fw.ctx
 	go func() {
 		for ctx.Err() == nil {
 			w.register(fw)
@@ -96,6 +109,7 @@
 // registration is the row that a worker registers.
 type registration struct {
 	Incarnation int64           `json:"life"`
+	Address     string          `json:"address"`
 	Zone        string          `json:"zone"`
 	Rack        string          `json:"rack"`
 	Capacity    resource.Vector `json:"capacity"`
@@ -104,9 +118,12 @@
 
 func (w *Workers) register(fw *fakeWorker) {
 	w.mu.Lock()
-	e := registration{fw.incarnation, fw.zone, fw.rack, fw.capacity, fw.draining}
-	isDead := fw.dead
+	e := registration{fw.incarnation, fw.address, fw.zone, fw.rack, fw.capacity, fw.draining}
+	isDead, listed := fw.dead, time.Now().Before(fw.listedUntil)
 	w.mu.Unlock()
+	if listed {
+		return
+	}
 	row := fleet.Row{Table: TableWorkers, Key: fw.id}
 	if isDead {
 		w.store.apply(fleet.Tx{Delete: []fleet.Row{row}})
@@ -126,7 +143,7 @@
 		return fleet.Worker{}, false
 	}
 	return fleet.Worker{
-		ID: r.Key, Incarnation: e.Incarnation, Address: r.Key, Zone: e.Zone, Service: "svc", Rack: e.Rack,
+		ID: r.Key, Incarnation: e.Incarnation, Address: e.Address, Zone: e.Zone, Service: "svc", Rack: e.Rack,
 		Labels: []string{"a", e.Rack}, Capacity: e.Capacity, Draining: e.Draining,
 	}, true
 }
@@ -145,9 +162,122 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.byID[id].dead = true
+	w.breakGangs(w.byID[id])
 	w.byID[id].runs = map[string]*run{}
 }
 
+const (
+	// crashDelay is the time from the start of a run that crashes its worker to the crash.
+	crashDelay = 10 * time.Millisecond
+	// replacementDelay is the time from the crash of a worker to the start of its replacement.
+	replacementDelay = 3 * time.Second
+	// crashedListedFor is how long the registration of a crashed worker remains.
+	crashedListedFor = 4500 * time.Millisecond
+)
+
+// SetCrashes sets the function that decides whether a run crashes its worker soon after its
+// start.
+func (w *Workers) SetCrashes(f func(task string) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crashes = f
+}
+
+// SetGang sets the function that names the gang of a task, or returns "" if it is in none. A gang
+// ends with the worker of one of its tasks.
+func (w *Workers) SetGang(f func(task string) string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.gang = f
+}
+
+// breakGangs ends the runs on other workers of the gangs that have a run on fw. The caller holds
+// the lock.
+func (w *Workers) breakGangs(fw *fakeWorker) {
+	if w.gang == nil {
+		return
+	}
+	for task := range fw.runs {
+		gang := w.gang(task)
+		for _, o := range w.byID {
+			for _, r := range o.runs {
+				if o != fw && gang != "" && w.gang(r.task) == gang {
+					o.endRun(r, fleet.EndGangBroken)
+				}
+			}
+		}
+	}
+}
+
+// CrashesBy returns how many workers a task has crashed.
+func (w *Workers) CrashesBy(task string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.crashCount[task]
+}
+
+// Crashes counts the workers that tasks have crashed.
+func (w *Workers) Crashes() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, c := range w.crashCount {
+		n += c
+	}
+	return n
+}
+
+// Crash kills a worker, which leaves the registry some seconds later. Another worker then starts
+// at its address, under a new id.
+func (w *Workers) Crash(id string) {
+	w.Kill(id)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.byID[id].listedUntil = time.Now().Add(crashedListedFor)
+	time.AfterFunc(replacementDelay, func() { w.replace(id) })
+}
+
+// replace starts a worker at the address of a crashed one.
+func (w *Workers) replace(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	old := w.byID[id]
+	w.replacements++
+	w.start(&fakeWorker{
+		fleet: w, id: fmt.Sprintf("%s-%d", old.address, w.replacements), address: old.address, zone: old.zone, rack: old.rack,
+		ctx: old.ctx, capacity: old.capacity, slowdown: old.slowdown,
+	})
+}
+
+// replacementOf reports whether another worker runs at the address of the dead worker fw.
+func (w *Workers) replacementOf(fw *fakeWorker) bool {
+	for _, o := range w.byID {
+		if o != fw && o.address == fw.address && !o.dead && !o.unreachable {
+			return true
+		}
+	}
+	return false
+}
+
+// crashAfterStart crashes the worker if the run of a task that does so has begun.
+func (w *Workers) crashAfterStart(fw *fakeWorker, task string) {
+	if w.crashes == nil || !w.crashes(task) {
+		return
+	}
+	incarnation := fw.incarnation
+	time.AfterFunc(crashDelay, func() {
+		w.mu.Lock()
+		crashes := fw.incarnation == incarnation && !fw.dead && fw.runs[task] != nil
+		if crashes {
+			w.crashCount[task]++
+		}
+		w.mu.Unlock()
+		if crashes {
+			w.Crash(fw.id)
+		}
+	})
+}
+
 // restartDuration is the time from the end of an incarnation to the start of the next.
 const restartDuration = 400 * time.Millisecond
 
@@ -250,7 +380,11 @@
 	}
 	fw := w.byID[to.ID]
 	dropped := fw == nil || fw.dead || fw.unreachable
+	replaced := fw != nil && fw.dead && w.replacementOf(fw)
 	w.mu.Unlock()
+	if replaced {
+		return fleet.CommandOtherIncarnation, nil
+	}
 	if dropped {
 		return 0, noResponse(ctx)
 	}
@@ -323,6 +457,7 @@
 		fw.extendLease(start.LeaseUntil)
 		w.checkStart(fw, start)
 		fw.runs[start.Task] = &run{task: start.Task, number: start.Run, checkpoint: start.Checkpoint, started: time.Now()}
+		w.crashAfterStart(fw, start.Task)
 		return fleet.CommandAccepted
 	})
 }
