dispatch: another worker's response at the address ends the runs of a lost one

Cause: runs on a crashed worker were restarted only when its leases had expired, six seconds after the crash, though its address answers as another worker after three. A refused connection stays no proof: workers behind a cut refuse and run on. Change: a renewal that names an incarnation and is answered by another one proves that the first is over; its tasks are pending at once and the address is no longer asked under the old id. Conclusion: innocent tasks beside a crashing one wait three seconds less.

--- a/internal/dispatch/commands.go
+++ b/internal/dispatch/commands.go
@@ -158,17 +158,8 @@
 			h.lossLogged = true
 			s.logLoss(h, lossLeaseExpired)
 		}
+		replan = s.returnLostRuns(h, now) || replan
 		for _, t := range h.tasks {
-			if h.leaseExpired(t, now) && t.stage != stagePlanned && t.stage != stageSent {
-				logger.WithField("task", t.name).WithField("run", t.Run).WithField("worker", id).Info("lease expired")
-				since := now
-				if t.step.LongRunning && t.job.loan == nil {
-					since = h.unreachableSince // it may have had no run since then
-				}
-				s.returnToPending(t, since)
-				replan = true
-				continue
-			}
 			s.stopIfStalled(t, h, now)
 			s.sendStopIfDue(t, h, now)
 		}
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -39,6 +39,36 @@
 		Warn("worker lost")
 }
 
+// handleReplacement processes the response of another worker at the address of h: the incarnation
+// that the renewal named is over, and with it every run that it had. The caller holds the lock.
+func (s *Shard) handleReplacement(h *host, now time.Duration) {
+	h.replaced, h.leasesExpireAt = true, now
+	s.logLoss(h, lossReplaced)
+	if s.returnLostRuns(h, now) {
+		s.wakeCommitLoop()
+	}
+}
+
+// returnLostRuns makes the tasks pending again whose runs on h are over because its leases have
+// expired or its address belongs to another worker, and reports whether there were any. The caller
+// holds the lock.
+func (s *Shard) returnLostRuns(h *host, now time.Duration) bool {
+	lost := false
+	for _, t := range h.tasks {
+		if t.stage == stagePlanned || t.stage == stageSent || !h.runLost(t, now) {
+			continue
+		}
+		logger.WithField("task", t.name).WithField("run", t.Run).WithField("worker", h.ID).Info("run lost with its worker")
+		since := now
+		if t.step.LongRunning && t.job.loan == nil {
+			since = h.unreachableSince // it may have had no run since then
+		}
+		s.returnToPending(t, since)
+		lost = true
+	}
+	return lost
+}
+
 // mayHaveCrashed reports whether the run of t had begun and its worker has not answered for
 // settleAfter since.
 func (t *task) mayHaveCrashed() bool { return t.stage != stagePlanned && !t.settled }
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -127,3 +127,18 @@
 		}
 	}
 }
+
+// The address of a crashed worker answers as another one seconds before the leases expire.
+func TestTasksOfAReplacedWorkerRunAgainBeforeItsLeasesExpire(t *testing.T) {
+	for phase := time.Duration(0); phase < renewalWait; phase += 100 * time.Millisecond {
+		withCluster(t, 3, func(tc *testCluster) {
+			tc.workers.SetDuration(func(string) time.Duration { return time.Hour })
+			tc.waitForWorkers()
+			tc.startLongRunning("aa", 3, 4000)
+			time.Sleep(phase)
+			tc.workers.Crash(tc.workerOf("aa", 0))
+			// A call that gets no response delays the next one.
+			tc.awaitRuns("aa", 3, fleetfake.ReplacementDelay+renewalMargin+renewalRetryDelay+tickInterval)
+		})
+	}
+}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -104,9 +104,12 @@
 // would repeat its work. The registry drops a dead worker before its leases expire.
 const listedWorkerGrace = 3 * time.Second
 
-// leaseExpired reports whether the run of t no longer exists because the leases of the
-// unreachable worker have expired.
-func (h *host) leaseExpired(t *task, now time.Duration) bool {
+// runLost reports whether the run of t no longer exists because the leases of the unreachable
+// worker have expired, or another worker has its address.
+func (h *host) runLost(t *task, now time.Duration) bool {
+	if h.replaced {
+		return true
+	}
 	if h.unreachableSince == 0 {
 		return false
 	}
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -362,9 +362,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			h := newHost(fleet.Worker{ID: "w"})
 			h.listed, h.unreachableSince, h.leasesExpireAt = c.listed, time.Second, time.Minute
-			got := h.leaseExpired(&task{step: &workload.Step{LongRunning: c.longRunning}}, h.leasesExpireAt+c.after)
+			got := h.runLost(&task{step: &workload.Step{LongRunning: c.longRunning}}, h.leasesExpireAt+c.after)
 			if got != c.want {
-				t.Errorf("leaseExpired = %v, want %v", got, c.want)
+				t.Errorf("runLost = %v, want %v", got, c.want)
 			}
 		})
 	}
--- a/internal/dispatch/renewal.go
+++ b/internal/dispatch/renewal.go
@@ -39,8 +39,12 @@
 func (s *Shard) followWorker(ctx context.Context, h *host) {
 	for ctx.Err() == nil {
 		s.mu.Lock()
+		replaced := h.replaced
 		renewal, sent := s.buildRenewal(h)
 		s.mu.Unlock()
+		if replaced {
+			return // this incarnation never answers again
+		}
 		tctx, cancel := context.WithTimeout(ctx, time.Duration(renewal.WaitMillis)*time.Millisecond+renewalMargin)
 		report, err := s.cfg.Workers.RenewLease(tctx, renewal)
 		cancel()
@@ -179,8 +183,7 @@
 			h.unreachableSince = now
 		}
 		if report.Refused == fleet.CommandOtherIncarnation && !h.replaced {
-			h.replaced = true
-			s.logLoss(h, lossReplaced)
+			s.handleReplacement(h, now)
 		}
 		return
 	}
--- a/internal/fleetfake/workers.go
+++ b/internal/fleetfake/workers.go
@@ -169,8 +169,8 @@
 const (
 	// crashDelay is the time from the start of a run that crashes its worker to the crash.
 	crashDelay = 10 * time.Millisecond
-	// replacementDelay is the time from the crash of a worker to the start of its replacement.
-	replacementDelay = 3 * time.Second
+	// ReplacementDelay is the time from the crash of a worker to the start of its replacement.
+	ReplacementDelay = 3 * time.Second
 	// crashedListedFor is how long the registration of a crashed worker remains.
 	crashedListedFor = 4500 * time.Millisecond
 )
@@ -234,7 +234,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.byID[id].listedUntil = time.Now().Add(crashedListedFor)
-	time.AfterFunc(replacementDelay, func() { w.replace(id) })
+	time.AfterFunc(ReplacementDelay, func() { w.replace(id) })
 }
 
 // replace starts a worker at the address of a crashed one.
