dispatch: give up a task that crashes the workers that start it

Cause: a run that is lost with its worker counted as no attempt, nothing kept which runs had just been started on a worker that crashed, and the task was placed like any other. The class: a retry without a budget for outcomes that no response reports. Change: each task counts the workers lost with its runs, in its stored progress and in loans: in all, and those lost before the run had worked for a second. Tasks lost once at the start are spread over the workers; from the second time on a run is the only start on its worker until it has outlived it, on an eighth of the workers at a time; the third loss fails the job with 1805. Five losses at any age do too. Workers that drain, or that merely do not answer, count for nothing; a worker that is presumed dead and comes back is taken off the count. The test store gives calls up like the real client. Conclusion: three crashes convict a task, as only the third start is alone on its worker; at two an innocent task that was lost twice by chance would lose its job.

--- a/internal/dispatch/borrow.go
+++ b/internal/dispatch/borrow.go
@@ -62,12 +62,18 @@
 		if s.paused || t == nil || !j.stored || !j.active() || t.Phase != workload.Pending || now-t.pendingSince < returnAfter {
 			continue
 		}
-		j.record.Moved, j.dirty, returned = &workload.Moved{Shard: j.loan.Lender}, true, true
+		j.returnLoan()
+		returned = true
 		s.logWait(t, "borrowed", now)
 	}
 	return returned
 }
 
+// returnLoan ends the loan j here. Its lender learns it after the next commit.
+func (j *job) returnLoan() {
+	j.record.Moved, j.dirty = &workload.Moved{Shard: j.loan.Lender}, true
+}
+
 // deliverReturn gives a loan back to its lender, after the commit that ended it here. The
 // caller holds the lock.
 func (s *Shard) deliverReturn(j *job) {
--- a/internal/dispatch/commands.go
+++ b/internal/dispatch/commands.go
@@ -175,6 +175,7 @@
 			delete(s.hosts, id)
 		}
 	}
+	s.forgetPresumedCrashes(now)
 	s.dropEndedJobs()
 	return replan
 }
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -4,11 +4,30 @@
 	"slices"
 	"strings"
 	"time"
+
+	"skylarkport/internal/contract/fleet"
+	"skylarkport/internal/result"
+	"skylarkport/internal/workload"
 )
 
-// settleAfter is how long a worker must answer after it has begun a run before the run is no
-// suspect of a later crash.
-const settleAfter = time.Second
+const (
+	// settleAfter is how long a worker must answer after it has begun a run before the run counts
+	// as outliving its start.
+	settleAfter = time.Second
+	// clearAfter is how long a run must work before earlier crashes are forgotten.
+	clearAfter = 30 * time.Second
+	// probationCrashes is how many workers in a row must have been lost soon after the start of a
+	// task before its next run is separated from other starts.
+	probationCrashes = 2
+	// maxStartCrashes is how many workers in a row may crash soon after the start of a task before
+	// its job fails. The last of these runs started alone, so no other task can have caused all.
+	maxStartCrashes = 3
+	// maxCrashes is the same whatever the age of the runs. The platform allows two more starts
+	// after three crashes.
+	maxCrashes = 5
+	// maxProbationShare is the largest share of the workers that are separated at a time.
+	maxProbationShare = 1.0 / 8
+)
 
 // lossCause is how the owner learned that an incarnation of a worker is over.
 type lossCause string
@@ -64,11 +83,154 @@
 			since = h.unreachableSince // it may have had no run since then
 		}
 		s.returnToPending(t, since)
+		if h.crashed() {
+			s.countCrash(t, h, h.replaced)
+		}
 		lost = true
 	}
 	return lost
 }
 
+// crashed reports whether the loss of h counts as a crash: it was not leaving, and it does not
+// merely fail to answer this owner.
+func (h *host) crashed() bool { return !h.Draining && (h.replaced || !h.listed) }
+
+// countCrash counts the crash of h, on which a run of t was lost. It is proven if a later
+// incarnation or another worker has answered. The caller holds the lock.
+func (s *Shard) countCrash(t *task, h *host, proven bool) {
+	t.Crashes.Total++
+	if !t.settled {
+		t.AtStart++
+	}
+	t.job.dirty = true
+	if !proven {
+		s.presumeCrash(t, h)
+	}
+	s.giveUpIfCrashing(t, proven)
+}
+
+// presumedCrash is a worker that was silent until it had left the registry and its leases had
+// expired.
+type presumedCrash struct {
+	incarnation int64
+	at          time.Duration
+	tasks       []*task // with runs that were lost
+}
+
+// presumedCrashMemory is how long a silent worker may take to prove that it had not crashed.
+const presumedCrashMemory = 2 * time.Minute
+
+// presumeCrash remembers that t was lost on h without a proof that h has crashed.
+func (s *Shard) presumeCrash(t *task, h *host) {
+	c := s.presumedCrashes[h.ID]
+	if c == nil || c.incarnation != h.Incarnation {
+		c = &presumedCrash{incarnation: h.Incarnation, at: s.now()}
+		s.presumedCrashes[h.ID] = c
+	}
+	c.tasks = append(c.tasks, t)
+}
+
+// withdrawCrash corrects the counts of the tasks whose worker was presumed to have crashed, but is
+// in the registry again.
+func (s *Shard) withdrawCrash(w fleet.Worker) {
+	c := s.presumedCrashes[w.ID]
+	if c == nil || c.incarnation != w.Incarnation {
+		return
+	}
+	delete(s.presumedCrashes, w.ID)
+	for _, t := range c.tasks {
+		t.Crashes.Total, t.AtStart = max(0, t.Crashes.Total-1), max(0, t.AtStart-1)
+		t.job.dirty = true
+	}
+	logger.WithField("worker", w.ID).WithField("tasks", len(c.tasks)).Info("lost worker is back in the same incarnation")
+}
+
+// forgetPresumedCrashes drops the presumed crashes that are older than presumedCrashMemory.
+func (s *Shard) forgetPresumedCrashes(now time.Duration) {
+	for id, c := range s.presumedCrashes {
+		if now-c.at > presumedCrashMemory {
+			delete(s.presumedCrashes, id)
+		}
+	}
+}
+
+// giveUpIfCrashing fails the job of t if too many workers have crashed with its runs. A borrowed
+// task is returned to its lender, which has the job. Workers that were only presumed to have
+// crashed, as they are silent, count for less. The caller holds the lock.
+func (s *Shard) giveUpIfCrashing(t *task, proven bool) {
+	j := t.job
+	limit := maxStartCrashes
+	if !proven {
+		limit++
+	}
+	if t.AtStart < limit && t.Crashes.Total < maxCrashes || !j.active() {
+		return
+	}
+	if j.loan != nil {
+		j.returnLoan()
+		return
+	}
+	err := result.Errorf(result.TaskCrashesWorkers, "%d workers lost with its runs, %d of them soon after the start", t.Crashes.Total, t.AtStart)
+	logger.WithField("task", t.name).WithField("run", t.Run).WithField("shard", s.cfg.Name).WithError(err).Error("task given up")
+	s.cfg.Metrics.TaskGivenUp()
+	s.finishJob(j, workload.Failed)
+}
+
+// observeSurvival records that the worker of t answered a request of the time sent: a run that has
+// outlived its start, or has worked for long, clears the task of earlier crashes.
+func (s *Shard) observeSurvival(t *task, sent time.Duration) {
+	age := sent - t.stageSince
+	if !t.settled && age >= settleAfter {
+		t.settled = true
+		if t.AtStart > 0 {
+			t.AtStart, t.job.dirty = 0, true
+			s.wakeCommitLoop() // its worker takes starts again
+		}
+	}
+	if t.Crashes.Total > 0 && age >= clearAfter {
+		t.Crashes.Total, t.job.dirty = 0, true
+	}
+}
+
+// suspect reports whether the last worker of t was lost soon after the start.
+func (t *task) suspect() bool { return t.AtStart > 0 }
+
+// onProbation reports whether the run of t must be the only start on its worker until it has
+// outlived its start.
+func (t *task) onProbation() bool { return t.AtStart >= probationCrashes }
+
+// probationFits separates a task under which several workers were lost from other starts, so that
+// the next loss clears or convicts it. Tasks that were lost once have run beside each other and are
+// kept apart from it.
+func probationFits(t *task, _ *fleet.Queue, sl *slot) bool {
+	return !sl.probation && (!t.onProbation() || sl.suspects == 0)
+}
+
+// suspectCost spreads suspects over the workers, and prefers those where a crash costs least.
+func suspectCost(t *task, sl *slot, _ *planPass) float64 {
+	if !t.suspect() {
+		return besideSuspectCost * float64(sl.suspects)
+	}
+	reserved := 0.0
+	if total := sl.host.Capacity.MilliCPU; total > 0 {
+		reserved = 1 - float64(sl.free.MilliCPU)/float64(total)
+	}
+	return suspectsTogetherCost*float64(sl.suspects) + suspectLoadCost*reserved
+}
+
+const (
+	// besideSuspectCost is the cost of a start beside a suspect.
+	besideSuspectCost = 1.0
+	// suspectsTogetherCost exceeds the cost of a rack without the task's data: two suspects on a
+	// worker that crashes cannot be told apart.
+	suspectsTogetherCost = 5.0
+	// suspectLoadCost exceeds the gain of packing services together.
+	suspectLoadCost = 2.0
+)
+
+// maxProbations is how many of n workers may be on probation at a time.
+func maxProbations(n int) int { return max(1, int(maxProbationShare*float64(n))) }
+
 // mayHaveCrashed reports whether the run of t had begun and its worker has not answered for
 // settleAfter since.
 func (t *task) mayHaveCrashed() bool { return t.stage != stagePlanned && !t.settled }
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -10,9 +10,9 @@
 	"skylarkport/internal/workload"
 )
 
-// maxCrashes is how many workers a task may crash: the platform allows two more starts after
+// allowedCrashes is how many workers a task may crash: the platform allows two more starts after
 // three workers have crashed.
-const maxCrashes = 5
+const allowedCrashes = 5
 
 // crashingTask is the task that crashes its workers in these tests.
 const crashingTask = "bad.0.0.0"
@@ -119,8 +119,8 @@
 					for _, id := range good {
 						tc.await(id, workload.Completed, 60*time.Second)
 					}
-					if n := tc.workers.CrashesBy(crashingTask); n > maxCrashes {
-						t.Errorf("the task crashed %d workers, at most %d are allowed", n, maxCrashes)
+					if n := tc.workers.CrashesBy(crashingTask); n > allowedCrashes {
+						t.Errorf("the task crashed %d workers, at most %d are allowed", n, allowedCrashes)
 					}
 				})
 			})
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -100,7 +100,7 @@
 	}
 	j.record.Tasks[k] = make([]workload.Progress, n)
 	if j.loan != nil {
-		j.record.Tasks[k][0] = workload.Progress{Run: j.loan.Run, Failures: j.loan.Failures, Checkpoint: j.loan.Checkpoint}
+		j.record.Tasks[k][0] = workload.Progress{Run: j.loan.Run, Failures: j.loan.Failures, Checkpoint: j.loan.Checkpoint, Crashes: j.loan.Crashes}
 	}
 	j.restoreTasks(k, now)
 	j.dirty = true
--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -192,7 +192,7 @@
 
 // newLoan returns the job that a borrower stores for t.
 func (t *task) newLoan(lender string) workload.Accepted {
-	loan := &workload.Loan{Task: t.name, Lender: lender, Run: t.Run + 1, Failures: t.Failures, Checkpoint: t.Checkpoint}
+	loan := &workload.Loan{Task: t.name, Lender: lender, Run: t.Run + 1, Failures: t.Failures, Checkpoint: t.Checkpoint, Crashes: t.Crashes}
 	if t.Phase == workload.Lent {
 		loan.Run = t.Run
 	}
@@ -367,7 +367,8 @@
 	if !slices.Contains(t.refusedBy, t.Worker) {
 		t.refusedBy = append(t.refusedBy, t.Worker)
 	}
-	t.Run, t.Failures, t.Checkpoint = max(t.Run, p.Run), max(t.Failures, p.Failures), p.Checkpoint
+	t.Run, t.Failures, t.Checkpoint, t.Crashes = max(t.Run, p.Run), max(t.Failures, p.Failures), p.Checkpoint, p.Crashes
 	s.endLoan(t, s.now()-lendAfter)
+	s.giveUpIfCrashing(t, true)
 	logger.WithField("task", t.name).WithField("shard", s.cfg.Name).WithField("run", t.Run).Info("loan returned")
 }
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -24,6 +24,7 @@
 	quarantined, preempted                tally.Counter
 	lent, returned                        tally.Counter
 	workersLost                           map[lossCause]tally.Counter
+	givenUp                               tally.Counter
 	longRunningWait                       tally.Histogram
 }
 
@@ -45,6 +46,7 @@
 		preempted:       scope.Counter("runs_preempted"),
 		lent:            scope.Counter("tasks_lent"),
 		returned:        scope.Counter("loans_returned"),
+		givenUp:         scope.Counter("tasks_given_up"),
 		longRunningWait: scope.Histogram("long_running_wait_seconds", latencies),
 		startRejected:   map[fleet.CommandResult]tally.Counter{},
 		ends:            map[fleet.EndKind]tally.Counter{},
@@ -115,6 +117,9 @@
 // WorkerLost counts a worker that was lost with its runs.
 func (m *Metrics) WorkerLost(cause lossCause) { m.workersLost[cause].Inc(1) }
 
+// TaskGivenUp counts a task whose job failed because its workers crash.
+func (m *Metrics) TaskGivenUp() { m.givenUp.Inc(1) }
+
 // Preempted records n runs that were stopped for a task of higher priority.
 func (m *Metrics) Preempted(n int) { m.preempted.Inc(int64(n)) }
 
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -17,6 +17,8 @@
 	releasing resource.Vector // reserved by runs that are being stopped
 	idleCPU   int64           // CPU that is not expected to be used, in thousandths of a core
 	services  int             // number of services, that is, runs with a tail latency target
+	suspects  int             // runs that have not outlived their start and whose last worker was lost in theirs
+	probation bool            // one of them must be the only start
 	// maxBackfillShare caches, by image, the fraction of the host's CPU that one more run
 	// of a backfill image may use.
 	maxBackfillShare map[string]float64
@@ -41,6 +43,7 @@
 			if t.isService() {
 				sl.services++
 			}
+			sl.countSuspect(t)
 			if t.stopWanted && t.stage != stageUnconfirmed {
 				sl.releasing = sl.releasing.Add(t.step.Committed())
 			}
@@ -61,7 +64,7 @@
 
 // filters must all pass. They ignore the capacity in use, which capacityFits checks after
 // them.
-var filters = []filter{serviceFits, labelFits, spreadFits}
+var filters = []filter{serviceFits, labelFits, spreadFits, probationFits}
 
 // serviceFits requires a worker of the queue's service.
 func serviceFits(_ *task, q *fleet.Queue, sl *slot) bool {
@@ -95,7 +98,7 @@
 type scorer func(t *task, sl *slot, p *planPass) float64
 
 // scorers are added up. A cost of 1 is what an entirely reserved host costs by loadCost.
-var scorers = []scorer{loadCost, dataLocalityCost, failedWorkerCost, colocationCost}
+var scorers = []scorer{loadCost, dataLocalityCost, failedWorkerCost, colocationCost, suspectCost}
 
 // loadCost spreads runs over the hosts, but packs services together: a host without
 // services is open to every backfill run.
@@ -182,6 +185,7 @@
 	slots               []*slot
 	backfillImages      []string // of the waiting backfill tasks
 	halfReserved        bool     // at least half of the CPU is reserved
+	probations          int      // workers on probation
 	lowInterferenceOnly bool     // place only backfill tasks that add little utilisation to services
 	// unplaceable holds, by image, the needs of the last backfill task that found no slot.
 	unplaceable map[string]resource.Vector
@@ -194,6 +198,9 @@
 	for _, sl := range p.slots {
 		free += sl.free.MilliCPU
 		total += sl.host.Capacity.MilliCPU
+		if sl.probation {
+			p.probations++
+		}
 	}
 	p.halfReserved = 2*free <= total
 	for _, c := range startable {
@@ -229,13 +236,22 @@
 		if t.Phase != workload.Pending {
 			continue // placed by the low-interference pass
 		}
+		if t.onProbation() && p.probations >= maxProbations(len(p.slots)) {
+			continue // it is placed once another one has outlived its start
+		}
 		sl := p.bestSlot(t, q, p.slots, "", tickets)
 		if sl == nil {
 			p.handleUnplaced(c, t, q, tickets)
+			if t.onProbation() {
+				continue // the others have more workers to choose from
+			}
 			return
 		}
 		t.ticket = tickets[sl.host.ID]
 		sl.reserve(t)
+		if t.onProbation() {
+			p.probations++
+		}
 		sl.host.place(t, p.now)
 	}
 }
@@ -245,7 +261,7 @@
 // priority may be stopped.
 func (p *planPass) handleUnplaced(c *candidate, t *task, q *fleet.Queue, tickets map[string]string) {
 	if t.step.Backfill {
-		if t.avoidWorker == "" {
+		if t.avoidWorker == "" && !t.onProbation() {
 			p.unplaceable[t.step.Image] = t.step.Needs
 		}
 		p.placeWithCPULimit(t, q)
@@ -297,6 +313,14 @@
 	return true
 }
 
+// countSuspect counts t if it is a suspect.
+func (sl *slot) countSuspect(t *task) {
+	if t.suspect() {
+		sl.suspects++
+	}
+	sl.probation = sl.probation || t.onProbation()
+}
+
 // reserve subtracts the needs of t from the slot.
 func (sl *slot) reserve(t *task) {
 	sl.free = sl.free.Sub(t.step.Committed())
@@ -304,6 +328,7 @@
 	if t.isService() {
 		sl.services++
 	}
+	sl.countSuspect(t)
 	if t.isService() || t.step.Backfill {
 		clear(sl.maxBackfillShare)
 		sl.serviceHeadrooms = nil
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -109,6 +109,7 @@
 func (s *Shard) registerHost(w fleet.Worker) {
 	h := s.hosts[w.ID]
 	if h == nil {
+		s.withdrawCrash(w)
 		h = newHost(w)
 		h.unreachableSince = s.now() // unreachable until its first response
 		s.hosts[w.ID] = h
--- a/internal/dispatch/renewal.go
+++ b/internal/dispatch/renewal.go
@@ -246,7 +246,11 @@
 			s.cfg.Metrics.RunMissing()
 			logger.WithField("task", name).WithField("run", t.Run).WithField("worker", h.ID).
 				WithField("stage", int(t.stage)).Info("worker does not report the run")
+			crashed := t.Incarnation < h.Incarnation
 			s.returnToPending(t, now)
+			if crashed {
+				s.countCrash(t, h, true)
+			}
 			s.wakeCommitLoop()
 		}
 	}
@@ -258,7 +262,7 @@
 	if t.stage != stageRunning {
 		t.confirmRun(now)
 	}
-	t.settled = t.settled || sent-t.stageSince >= settleAfter
+	s.observeSurvival(t, sent)
 	if r.ProgressPercent != t.percent {
 		t.percent, t.progressedAt = r.ProgressPercent, now
 	}
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -109,7 +109,8 @@
 	cachedLoadAt         time.Duration
 	backfillCapacity     []ImageCapacity // computed at backfillCapacityAt
 	backfillCapacityAt   time.Duration
-	cycleDone            chan struct{} // closed and replaced after each cycle of the commit loop
+	presumedCrashes      map[string]*presumedCrash // by worker id
+	cycleDone            chan struct{}             // closed and replaced after each cycle of the commit loop
 }
 
 // New returns a shard that is not running yet.
@@ -119,6 +120,7 @@
 		inboxToDelete: map[string]bool{}, publishedExpiries: map[string]bool{}, droppedJobs: map[string]bool{}, borrowed: map[string]*job{},
 		wake: make(chan struct{}, 1), loaded: make(chan struct{}), cycleDone: make(chan struct{}),
 		interference: newInterferenceModel(), durationModel: newDurationModel(), meanWork: meanWork{}, sizeWeight: sizeWeight, approvals: map[string]*approval{},
+		presumedCrashes: map[string]*presumedCrash{},
 	}
 }
 
--- a/internal/fleetfake/store.go
+++ b/internal/fleetfake/store.go
@@ -32,6 +32,9 @@
 // storeDelay is the duration of a call to the store.
 const storeDelay = 5 * time.Millisecond
 
+// changesMargin is how long after the end of its wait a call of Changes is given up.
+const changesMargin = time.Second
+
 type rowKey struct{ table, part, key string }
 
 // Store is a fleet.Store in memory.
@@ -185,6 +188,8 @@
 // Changes implements fleet.Store.
 func (s *Store) Changes(ctx context.Context, table string, version int64, wait time.Duration) (fleet.Changes, error) {
 	time.Sleep(storeDelay)
+	ctx, cancel := context.WithTimeout(ctx, wait+changesMargin) // like that of the real client
+	defer cancel()
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -90,6 +90,7 @@
 	WorkerIncarnation  Code = 1802
 	WorkerUnavailable  Code = 1803
 	WorkerFull         Code = 1804
+	TaskCrashesWorkers Code = 1805
 )
 
 // table describes every code, in ascending order.
@@ -179,4 +180,5 @@
 	{WorkerIncarnation, "worker-incarnation", 409, true, "The worker has restarted since the decision was made."},
 	{WorkerUnavailable, "worker-away", 503, false, "The worker does not answer."},
 	{WorkerFull, "worker-full", 409, true, "The worker does not have enough free capacity for the run."},
+	{TaskCrashesWorkers, "task-crashes-workers", 500, false, "Workers crash one after the other when they start the task; its job has failed."},
 }
--- a/internal/workload/loan.go
+++ b/internal/workload/loan.go
@@ -15,6 +15,7 @@
 	Run        int    `json:"run"`         // number of this loan; the borrower's runs have higher numbers
 	Failures   int    `json:"f,omitempty"` // number of earlier runs that failed
 	Checkpoint string `json:"c,omitempty"` // latest checkpoint
+	Crashes           // of the task's workers before the loan
 }
 
 // ID returns the id of the borrower's job. It differs between two loans of one task.
@@ -26,7 +27,7 @@
 	if _, err := ParseTaskID(l.Task); err != nil {
 		return result.Wrap(result.LoanBad, err, "loan")
 	}
-	if l.Lender == "" || l.Run <= 0 || l.Failures < 0 {
+	if l.Lender == "" || l.Run <= 0 || l.Failures < 0 || l.Crashes.Total < 0 || l.Crashes.AtStart < 0 {
 		return result.Errorf(result.LoanBad, "loan of %s by shard %q with number %d", l.Task, l.Lender, l.Run)
 	}
 	if spec.ID != l.ID() {
--- a/internal/workload/task.go
+++ b/internal/workload/task.go
@@ -50,6 +50,12 @@
 	Lent                 // only the shard named in Progress.Worker may run the task
 )
 
+// Crashes counts the workers that were lost one after the other with a run of a task.
+type Crashes struct {
+	Total   int `json:"cr,omitempty"` // since a run of the task last worked for long
+	AtStart int `json:"cs,omitempty"` // since a run last outlived its start; those lost soon after they had begun the run
+}
+
 // Progress is the stored state of one task.
 type Progress struct {
 	Phase       Phase  `json:"p,omitempty"`
@@ -58,4 +64,5 @@
 	Worker      string `json:"w,omitempty"` // id of the worker while Placed, the borrower's shard while Lent
 	Incarnation int64  `json:"l,omitempty"` // start time of the worker's process in Unix milliseconds
 	Checkpoint  string `json:"c,omitempty"` // latest checkpoint
+	Crashes
 }
