dispatch: starts keep to the capacity of workers that shrink while they run

Callers saw: nothing yet; a worker without a check of its own would be started more than it has. Cause: a start was sent by the capacity known when it was planned, however long its commit took, and by a registry that may not have been read for long. The class: a decision carried out later without a check that its premise still holds. Change: before a start is sent it must still fit; a gang is started whole or not at all. Workers of a service without a check get no start while the registry was last read over 2.5 s ago or while they report runs that nobody placed, as these use an unknown share. Conclusion: holds for capacity that the registry shows; while the store is down nothing shows it, and no start is sent to such workers.

--- a/internal/contract/fleet/config.go
+++ b/internal/contract/fleet/config.go
@@ -72,6 +72,16 @@
 	return nil
 }
 
+// ServiceByName returns the service with the given name, or nil.
+func (c *Config) ServiceByName(name string) *Service {
+	for i := range c.Services {
+		if c.Services[i].Name == name {
+			return &c.Services[i]
+		}
+	}
+	return nil
+}
+
 // ConfigSource locates and decodes the operator's configuration.
 type ConfigSource interface {
 	// Location returns the table and key of the configuration's row, whose Row.Part is
--- a/internal/dispatch/commands.go
+++ b/internal/dispatch/commands.go
@@ -24,18 +24,44 @@
 	rejectionBackoff = 400 * time.Millisecond
 )
 
-// sendStart sends the start of a run whose placement is durable. The caller holds the lock.
-func (s *Shard) sendStart(ctx context.Context, t *task) {
-	if t.stage != stagePlanned {
-		return
-	}
+// sendStarts sends the starts of runs whose placements are durable. A gang is started whole or not
+// at all. The caller holds the lock.
+func (s *Shard) sendStarts(ctx context.Context, starts []*task) {
 	now := s.now()
+	for _, t := range starts {
+		if t.stage != stagePlanned || s.maySend(t, now) {
+			continue
+		}
+		members := []*task{t}
+		if t.step.Gang {
+			members = t.job.stepTasks(t.id.Occurrence, t.id.Step)
+		}
+		for _, m := range members {
+			if m.stage == stagePlanned {
+				s.undoPlacement(m, now) // no start was sent, so no run can exist
+			}
+		}
+		s.wakeCommitLoop()
+	}
+	for _, t := range starts {
+		if t.stage == stagePlanned {
+			s.sendStart(ctx, t, now)
+		}
+	}
+}
+
+// maySend reports whether the worker of t, a task whose placement is durable, may still get its start.
+func (s *Shard) maySend(t *task, now time.Duration) bool {
 	h := s.hosts[t.Worker]
 	if h == nil || t.stopWanted || !h.fenced || h.Incarnation != t.Incarnation || h.unreachableSince > 0 || s.publishedExpiries[h.ID] {
-		s.undoPlacement(t, now) // no start was sent, so no run can exist
-		s.wakeCommitLoop()
-		return
+		return false
 	}
+	return h.stillFits(t) && s.capacityKnown(h, now)
+}
+
+// sendStart sends the start of t. The caller holds the lock.
+func (s *Shard) sendStart(ctx context.Context, t *task, now time.Duration) {
+	h := s.hosts[t.Worker]
 	t.stage, t.stageSince = stageSent, now
 	t.uninterrupted = t.Checkpoint == "" && t.startCPULimit == 0 && !t.step.LongRunning
 	command := fleet.Start{
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -430,9 +430,7 @@
 	for _, id := range b.droppedJobs {
 		delete(s.droppedJobs, id)
 	}
-	for _, t := range b.starts {
-		s.sendStart(ctx, t)
-	}
+	s.sendStarts(ctx, b.starts)
 	for h, e := range b.appliedEnds {
 		if e.incarnation == h.Incarnation && e.number > h.durableEnd {
 			h.durableEnd = e.number
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -17,6 +17,7 @@
 	listed          bool             // the registry lists the worker
 	tasks           map[string]*task // runs that may exist here, by task name
 	unknownRunStops map[string]bool  // unknown runs being stopped, by task name
+	hasUnknownRuns  bool             // the last report named runs that were not placed here
 
 	fenced           bool          // the worker's present incarnation knows this owner's epoch and rejects earlier ones
 	clock            int64         // the worker's clock at clockAt, in milliseconds
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -56,7 +56,25 @@
 
 // mayPlaceOn reports whether new runs may be placed on h and get a lease.
 func (s *Shard) mayPlaceOn(h *host, now time.Duration) bool {
-	return h.acceptsRuns(now) && !s.publishedExpiries[h.ID]
+	return h.acceptsRuns(now) && !s.publishedExpiries[h.ID] && s.capacityKnown(h, now)
+}
+
+// capacityKnown reports whether a start that fits the known capacity of h and the known runs there
+// cannot exceed what h has, or whether h rejects it then.
+func (s *Shard) capacityKnown(h *host, now time.Duration) bool {
+	if cfg := s.cfg.Config(); cfg != nil {
+		if service := cfg.ServiceByName(h.Service); service != nil && service.ChecksCapacity {
+			return true
+		}
+	}
+	return !h.hasUnknownRuns && !s.registryStale(now)
+}
+
+// stillFits reports whether t, which is placed on h, still fits beside the other runs there: its
+// capacity may have shrunk since the placement.
+func (h *host) stillFits(t *task) bool {
+	need := t.step.Committed()
+	return need.Fits(h.free().Add(need))
 }
 
 // filter reports whether a host is eligible for a task.
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -22,7 +22,7 @@
 	cfg := &fleet.Config{Queues: []fleet.Queue{
 		{Name: "short", Service: "svc", Slack: 1.5, Target: 250 * time.Millisecond, Attempts: 3},
 		{Name: "batch", Service: "svc", Priority: 2, Slack: 2, Target: time.Second, Attempts: 3},
-	}}
+	}, Services: []fleet.Service{{Name: "svc", ChecksCapacity: true}}}
 	f := &fixture{now: time.Hour}
 	f.Shard = New(Settings{
 		Name: "s", Config: func() *fleet.Config { return cfg },
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -15,16 +15,22 @@
 	registryWait = 900 * time.Millisecond
 	// registryPause lets changes that arrive together be processed together.
 	registryPause = 100 * time.Millisecond
+	// registryMaxAge is how old the registry may be as read if workers get starts that don't check
+	// their capacity. A capacity that has shrunk must be kept to within the three seconds of an
+	// owner's contact and one registration of the worker.
+	registryMaxAge = 2500 * time.Millisecond
 )
 
 // watchRegistry keeps the hosts up to date with the registry until ctx ends.
 func (s *Shard) watchRegistry(ctx context.Context) error {
 	for {
+		requestedAt := s.now()
 		rows, version, err := s.readAll(ctx, s.cfg.Registry.Table(), "")
 		if err != nil {
 			return err
 		}
 		s.syncHosts(rows)
+		s.confirmRegistry(requestedAt)
 		if err := s.followRegistry(ctx, version); err != nil && ctx.Err() == nil {
 			logger.WithField("shard", s.cfg.Name).WithError(err).Debug("reading of registry changes failed, reading all entries")
 		}
@@ -37,21 +43,39 @@
 // followRegistry processes the changes after version until a read fails.
 func (s *Shard) followRegistry(ctx context.Context, version int64) error {
 	for {
+		requestedAt := s.now()
 		c, err := s.cfg.Store.Changes(ctx, s.cfg.Registry.Table(), version, registryWait)
 		if err != nil {
 			return err
 		}
 		version = c.Version
+		if len(c.Rows) > 0 {
+			s.updateHosts(c.Rows)
+		}
+		s.confirmRegistry(requestedAt)
 		if len(c.Rows) == 0 {
 			continue
 		}
-		s.updateHosts(c.Rows)
 		if !pause.For(ctx, registryPause) {
 			return context.Cause(ctx)
 		}
 	}
 }
 
+// confirmRegistry records that the hosts agree with the registry as of the given time.
+func (s *Shard) confirmRegistry(at time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stale := s.registryStale(s.now())
+	s.registryAt = at
+	if stale {
+		s.wakeCommitLoop() // starts that waited for it may be placed
+	}
+}
+
+// registryStale reports whether workers may have shrunk without being noticed here.
+func (s *Shard) registryStale(now time.Duration) bool { return now-s.registryAt > registryMaxAge }
+
 // syncHosts updates the hosts to a complete list of the registry.
 func (s *Shard) syncHosts(rows []fleet.Row) {
 	s.mu.Lock()
--- a/internal/dispatch/renewal.go
+++ b/internal/dispatch/renewal.go
@@ -227,10 +227,12 @@
 func (s *Shard) reconcileRuns(h *host, sent time.Duration, report fleet.LeaseReport) {
 	now := s.now()
 	listed := make(map[string]bool, len(report.Running))
+	h.hasUnknownRuns = false
 	for _, r := range report.Running {
 		listed[r.Task] = true
 		t := h.tasks[r.Task]
 		if t == nil || t.Run != r.Run {
+			h.hasUnknownRuns = true
 			s.stopUnknownRun(h, r)
 			continue
 		}
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -109,6 +109,7 @@
 	cachedLoadAt         time.Duration
 	backfillCapacity     []ImageCapacity // computed at backfillCapacityAt
 	backfillCapacityAt   time.Duration
+	registryAt           time.Duration             // the hosts agree with the registry as of then
 	presumedCrashes      map[string]*presumedCrash // by worker id
 	cycleDone            chan struct{}             // closed and replaced after each cycle of the commit loop
 }
--- a/internal/fleetfake/workers.go
+++ b/internal/fleetfake/workers.go
@@ -50,6 +50,7 @@
 	endReports   []fleet.EndReport
 	lastReport   int64 // number of the last report of an ended run
 	capacity     resource.Vector
+	largest      resource.Vector // capacity that a start may use: the larger one until limitGrace after it shrank
 	draining     bool
 	dead         bool
 	listedUntil  time.Time // when the registration of a crashed worker expires
@@ -69,6 +70,8 @@
 	fails               func(task string, run int) bool
 	crashes             func(task string) bool
 	gang                func(task string) string
+	needs               func(task string) resource.Vector
+	checksCapacity      bool
 	crashCount          map[string]int // by task
 	replacements        int
 	fault               func(kind, worker string) Fault
@@ -90,7 +93,7 @@
 func (w *Workers) Add(ctx context.Context, id, zone, rack string, capacity resource.Vector) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.start(&fakeWorker{fleet: w, id: id, address: id, zone: zone, rack: rack, ctx: ctx, capacity: capacity, slowdown: 1})
+	w.start(&fakeWorker{fleet: w, id: id, address: id, zone: zone, rack: rack, ctx: ctx, capacity: capacity, largest: capacity, slowdown: 1})
 }
 
 // start begins the first incarnation of fw and registers it until its context ends. The caller
@@ -246,7 +249,7 @@
 	w.replacements++
 	w.start(&fakeWorker{
 		fleet: w, id: fmt.Sprintf("%s-%d", old.address, w.replacements), address: old.address, zone: old.zone, rack: old.rack,
-		ctx: old.ctx, capacity: old.capacity, slowdown: old.slowdown,
+		ctx: old.ctx, capacity: old.capacity, largest: old.capacity, slowdown: old.slowdown,
 	})
 }
 
@@ -307,6 +310,55 @@
 	w.byID[id].unreachable = unreachable
 }
 
+// limitGrace is how long after its capacity has shrunk a worker tolerates starts that exceed it. The
+// registration shows the capacity within registrationInterval.
+const limitGrace = 3500 * time.Millisecond
+
+// SetNeeds sets the function that returns what a run of a task reserves. Workers then either
+// check their capacity and reject what does not fit, or record a violation.
+func (w *Workers) SetNeeds(checkCapacity bool, f func(task string) resource.Vector) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.checksCapacity, w.needs = checkCapacity, f
+}
+
+// SetCapacity changes the capacity of a worker while it runs.
+func (w *Workers) SetCapacity(id string, capacity resource.Vector) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	fw := w.byID[id]
+	fw.capacity = capacity
+	if !fw.largest.Fits(capacity) {
+		time.AfterFunc(limitGrace, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			fw.largest = fw.capacity
+		})
+		return
+	}
+	fw.largest = capacity
+}
+
+// fits reports whether the worker accepts a start of a task, and records a violation if it starts more
+// than its capacity without a check. Runs that are being stopped count.
+func (fw *fakeWorker) fits(task string) bool {
+	w := fw.fleet
+	if w.needs == nil {
+		return true
+	}
+	used := w.needs(task)
+	for running := range fw.runs {
+		used = used.Add(w.needs(running))
+	}
+	if w.checksCapacity {
+		return used.Fits(fw.capacity)
+	}
+	if !used.Fits(fw.largest) {
+		w.violations = append(w.violations, fmt.Sprintf("%s on %s needs %v in all, its capacity is %v", task, fw.id, used, fw.largest))
+	}
+	return true
+}
+
 // SetPartitioned cuts a worker off from its callers and from the registry, or ends that. Its runs
 // continue until their lease expires.
 func (w *Workers) SetPartitioned(id string, partitioned bool) {
@@ -464,6 +516,9 @@
 			return fleet.CommandLeaseExpired
 		}
 		fw.extendLease(start.LeaseUntil)
+		if !fw.fits(start.Task) {
+			return fleet.CommandNoCapacity
+		}
 		w.checkStart(fw, start)
 		fw.runs[start.Task] = &run{task: start.Task, number: start.Run, checkpoint: start.Checkpoint, started: time.Now()}
 		w.crashAfterStart(fw, start.Task)
