dispatch: runs that another owner started, and a worker that crashes again, convict no task

Cause: a successor counted the restarts of one worker under runs that it had only inherited, and failed an innocent job after three. Change: the third loss convicts only if this owner saw the start of the run and the worker is not that of the loss before; else the fifth does. Conclusion: takeovers cost two more crashes at the most, within the bound of five.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -82,10 +82,10 @@
 		if t.step.LongRunning && t.job.loan == nil {
 			since = h.unreachableSince // it may have had no run since then
 		}
-		s.returnToPending(t, since)
 		if h.crashed() {
 			s.countCrash(t, h, h.replaced)
 		}
+		s.returnToPending(t, since)
 		lost = true
 	}
 	return lost
@@ -105,11 +105,12 @@
 	if !t.settled {
 		t.AtStart++
 	}
-	t.lostInRack, t.job.dirty = h.Rack, true
+	certain := proven && alone && t.startSeen() && t.lostAt != h.Address
+	t.lostAt, t.lostInRack, t.job.dirty = h.Address, h.Rack, true
 	if !proven {
 		s.presumeCrash(t, h)
 	}
-	s.giveUpIfCrashing(t, proven && alone && !t.startTimedOut)
+	s.giveUpIfCrashing(t, certain)
 }
 
 const (
@@ -184,8 +185,8 @@
 
 // giveUpIfCrashing fails the job of t if too many workers have crashed with its runs. A borrowed
 // task is returned to its lender, which has the job. Unless certain, the last worker may have been
-// silent, dead before the start, or lost together with others, and more have to follow. The caller
-// holds the lock.
+// silent, dead before the start, the cause itself, or lost together with others, and more have to
+// follow. The caller holds the lock.
 func (s *Shard) giveUpIfCrashing(t *task, certain bool) {
 	j := t.job
 	limit := maxCrashes
@@ -221,6 +222,11 @@
 	}
 }
 
+// startSeen reports whether the worker of t was alive at the start, as far as this owner knows.
+func (t *task) startSeen() bool {
+	return t.stage == stageRunning || t.stage == stageUnconfirmed && !t.startTimedOut
+}
+
 // suspect reports whether the last worker of t was lost soon after the start.
 func (t *task) suspect() bool { return t.AtStart > 0 }
 
--- a/internal/dispatch/renewal.go
+++ b/internal/dispatch/renewal.go
@@ -247,11 +247,10 @@
 			s.cfg.Metrics.RunMissing()
 			logger.WithField("task", name).WithField("run", t.Run).WithField("worker", h.ID).
 				WithField("stage", int(t.stage)).Info("worker does not report the run")
-			crashed := t.Incarnation < h.Incarnation
-			s.returnToPending(t, now)
-			if crashed {
+			if t.Incarnation < h.Incarnation {
 				s.countCrash(t, h, true)
 			}
+			s.returnToPending(t, now)
 			s.wakeCommitLoop()
 		}
 	}
