dispatch, node: a row or message that is not valid no longer ends owner after owner

Callers would see: a shard without an owner, or instance after instance going down, from one bad row. Cause: an undecodable row ended the load of the shard at each successor; a job without steps in the inbox, or in a peer's message, and a progress row with too few tasks were used unchecked. Change: stored rows are validated when they are read. Jobs of peers and layouts are validated. Conclusion: rows of this program only fail so by a fault of ours or of the store, but the cost was the whole shard.

--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -42,47 +42,19 @@
 	if len(estimates) > 0 {
 		var e InterferenceEstimates
 		if err := workload.Decode(estimates[0].Value, &e); err != nil {
-			return err
+			s.logUnreadable(estimates[0], err)
+		} else {
+			s.interference.restore(e)
 		}
-		s.interference.restore(e)
 	}
 	if len(heartbeats) > 0 {
-		s.heartbeatVersion = heartbeats[0].Version
-		if err := workload.Decode(heartbeats[0].Value, &s.heartbeat); err != nil {
-			return err
-		}
-		s.inheritedLeaseMillis = s.heartbeat.LeaseMillis
-		s.recordPublishedExpiries(s.heartbeat.LeaseExpiries)
+		s.restoreHeartbeat(heartbeats[0])
 	}
 	for _, r := range accepted {
-		var a workload.Accepted
-		if err := workload.Decode(r.Value, &a); err != nil {
-			return err
-		}
-		if a.Loan != nil {
-			if err := a.Loan.Validate(&a.Spec); err != nil {
-				logger.WithField("shard", s.cfg.Name).WithField("key", r.Key).WithError(err).Error("stored loan is not valid")
-				continue
-			}
-		}
-		j := newJob(&a)
-		j.stored = true
-		s.jobs[r.Key] = j
-		s.registerLoan(j)
+		s.restoreJob(r)
 	}
 	for _, r := range progress {
-		j := s.jobs[r.Key]
-		if j == nil {
-			logger.WithField("job", r.Key).Warn("progress row without an accepted row")
-			continue
-		}
-		if err := workload.Decode(r.Value, &j.record); err != nil {
-			return err
-		}
-		j.durableState = j.record.State
-		for k := range j.record.Tasks {
-			j.restoreTasks(k, s.now())
-		}
+		s.restoreProgress(r)
 	}
 	for _, j := range s.jobs {
 		s.bindInheritedRuns(j)
@@ -93,6 +65,80 @@
 	return nil
 }
 
+// restoreHeartbeat takes over what the earlier owner stored with its last commit. If that is
+// unreadable, leases may have been granted until now.
+func (s *Shard) restoreHeartbeat(r fleet.Row) {
+	s.heartbeatVersion = r.Version
+	if err := workload.Decode(r.Value, &s.heartbeat); err != nil {
+		s.logUnreadable(r, err)
+		s.heartbeat = heartbeatRow{BuiltAt: int64(s.storeNow())}
+	}
+	s.inheritedLeaseMillis = s.heartbeat.LeaseMillis
+	s.recordPublishedExpiries(s.heartbeat.LeaseExpiries)
+}
+
+// restoreJob adds the job of an accepted row.
+func (s *Shard) restoreJob(r fleet.Row) {
+	var a workload.Accepted
+	err := workload.Decode(r.Value, &a)
+	if err == nil {
+		err = a.Validate()
+	}
+	if err == nil && a.Spec.ID != r.Key {
+		err = result.Errorf(result.JournalCorrupt, "job %q", a.Spec.ID)
+	}
+	if err != nil {
+		s.setAside(r, err)
+		return
+	}
+	j := newJob(&a)
+	j.stored = true
+	s.jobs[r.Key] = j
+	s.registerLoan(j)
+}
+
+// restoreProgress adds the progress of a job.
+func (s *Shard) restoreProgress(r fleet.Row) {
+	j := s.jobs[r.Key]
+	if j == nil {
+		if !s.unreadable[r.Key] {
+			logger.WithField("job", r.Key).Warn("progress row without an accepted row")
+		}
+		return
+	}
+	var record workload.Record
+	err := workload.Decode(r.Value, &record)
+	if err == nil {
+		err = record.Validate(&j.spec)
+	}
+	if err != nil {
+		delete(s.jobs, r.Key)
+		s.unregisterLoan(j)
+		s.setAside(r, err)
+		return
+	}
+	j.record, j.durableState = record, record.State
+	for k := range j.record.Tasks {
+		j.restoreTasks(k, s.now())
+	}
+}
+
+// setAside excludes the job of an unreadable row: nobody knows which runs it has, and an error in
+// one row must not end the owners of the shard one after the other.
+func (s *Shard) setAside(r fleet.Row, err error) {
+	s.unreadable[r.Key] = true
+	s.logUnreadable(r, err)
+}
+
+func (s *Shard) logUnreadable(r fleet.Row, err error) {
+	logger.WithField("shard", s.cfg.Name).WithField("table", r.Table).WithField("key", r.Key).WithError(err).Error("stored row is not readable")
+}
+
+// errUnreadable is the error for callers that name a job whose rows are not readable.
+func errUnreadable(id string) error {
+	return result.Errorf(result.JournalCorrupt, "the rows of job %s", id)
+}
+
 // bindInheritedRuns assigns the placed runs of j to their hosts, which are created if the
 // registry has not listed them yet, and creates the tasks of a job that has none.
 func (s *Shard) bindInheritedRuns(j *job) {
@@ -225,13 +271,20 @@
 // applyInboxJob admits the job of an inbox row.
 func (s *Shard) applyInboxJob(r fleet.Row) {
 	var a workload.Accepted
-	if err := workload.Decode(r.Value, &a); err != nil {
-		logger.WithField("key", r.Key).WithError(err).Error("inbox row cannot be decoded")
-		return
+	err := workload.Decode(r.Value, &a)
+	switch {
+	case err != nil:
+	case a.Loan != nil:
+		err = result.Errorf(result.LoanBad, "loan of %s in the inbox", a.Loan.Task)
+	case a.Spec.ID != inboxJobID(r.Key):
+		err = result.Errorf(result.JournalCorrupt, "job %q", a.Spec.ID)
+	case s.isUnreadable(a.Spec.ID):
+		err = errUnreadable(a.Spec.ID)
+	default:
+		err = a.Validate()
 	}
-	if a.Loan != nil {
-		err := result.Errorf(result.LoanBad, "loan of %s in the inbox", a.Loan.Task)
-		logger.WithField("key", r.Key).WithError(err).Error("inbox row is not a job")
+	if err != nil {
+		s.logUnreadable(r, err)
 		return
 	}
 	fasterShard := s.fasterShard(&a)
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -110,6 +110,7 @@
 	backfillCapacity     []ImageCapacity // computed at backfillCapacityAt
 	backfillCapacityAt   time.Duration
 	registryAt           time.Duration             // the hosts agree with the registry as of then
+	unreadable           map[string]bool           // jobs with a row that is not readable
 	presumedCrashes      map[string]*presumedCrash // by worker id
 	cycleDone            chan struct{}             // closed and replaced after each cycle of the commit loop
 }
@@ -121,7 +122,7 @@
 		inboxToDelete: map[string]bool{}, publishedExpiries: map[string]bool{}, droppedJobs: map[string]bool{}, borrowed: map[string]*job{},
 		wake: make(chan struct{}, 1), loaded: make(chan struct{}), cycleDone: make(chan struct{}),
 		interference: newInterferenceModel(), durationModel: newDurationModel(), meanWork: meanWork{}, sizeWeight: sizeWeight, approvals: map[string]*approval{},
-		presumedCrashes: map[string]*presumedCrash{},
+		presumedCrashes: map[string]*presumedCrash{}, unreadable: map[string]bool{},
 	}
 }
 
@@ -231,10 +232,11 @@
 	if err := s.awaitLoaded(ctx); err != nil {
 		return err
 	}
-	if a.Loan != nil {
-		if err := a.Loan.Validate(&a.Spec); err != nil {
-			return err
-		}
+	if err := a.Validate(); err != nil {
+		return err
+	}
+	if s.isUnreadable(a.Spec.ID) {
+		return errUnreadable(a.Spec.ID)
 	}
 	fasterShard := s.fasterShard(&a)
 	s.mu.Lock()
@@ -303,6 +305,13 @@
 	return result.Errorf(result.OutcomeUnknown, "the job was not committed within the deadline")
 }
 
+// isUnreadable reports whether a stored row of a job is not readable.
+func (s *Shard) isUnreadable(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unreadable[id]
+}
+
 // awaitLoaded waits until the stored rows are loaded.
 func (s *Shard) awaitLoaded(ctx context.Context) error {
 	select {
@@ -321,6 +330,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.unreadable[id] {
+		return "", nil, errUnreadable(id)
+	}
 	j, ok := s.jobs[id]
 	if !ok || !j.stored {
 		return "", nil, result.Errorf(result.JobUnknown, "no job %s", id)
@@ -346,6 +358,9 @@
 	s.mu.Lock()
 	j, ok := s.jobs[id]
 	switch {
+	case s.unreadable[id]:
+		s.mu.Unlock()
+		return nil, errUnreadable(id)
 	case !ok:
 		s.mu.Unlock()
 		return nil, result.Errorf(result.JobUnknown, "no job %s", id)
--- a/internal/node/layout.go
+++ b/internal/node/layout.go
@@ -12,6 +12,7 @@
 
 	"skylarkport/internal/contract/fleet"
 	"skylarkport/internal/pause"
+	"skylarkport/internal/result"
 	"skylarkport/internal/workload"
 )
 
@@ -49,6 +50,14 @@
 // owner sees the free capacity of all workers, so nothing is balanced between shards.
 const singleShard = "whole"
 
+// Validate returns an error with the code JournalCorrupt if the layout has no shards.
+func (l *Layout) Validate() error {
+	if l.PerZone < 0 || l.PerZone > maxShards || l.PerZone > 0 && len(l.Zones) == 0 {
+		return result.Errorf(result.JournalCorrupt, "layout of %d zones with %d shards each", len(l.Zones), l.PerZone)
+	}
+	return nil
+}
+
 // Shards returns the names of all shards.
 func (l *Layout) Shards() []string {
 	if l.PerZone == 0 {
@@ -136,7 +145,10 @@
 	n.observeStoreClock(p.Clock)
 	if len(p.Rows) > 0 {
 		l := new(Layout)
-		return l, 0, workload.Decode(p.Rows[0].Value, l)
+		if err := workload.Decode(p.Rows[0].Value, l); err != nil {
+			return nil, 0, err
+		}
+		return l, 0, l.Validate()
 	}
 	workers, err := n.deps.Store.Range(ctx, n.deps.Registry.Table(), "", "", "")
 	if err != nil || !write {
--- a/internal/node/layout_test.go
+++ b/internal/node/layout_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"skylarkport/internal/contract/fleet"
+	"skylarkport/internal/result"
 )
 
 // workersOf returns n workers, round-robin over the zones, in racks of the given size.
@@ -90,3 +91,16 @@
 		})
 	}
 }
+
+func TestMalformedLayoutIsRefused(t *testing.T) {
+	for _, l := range []Layout{{PerZone: 1}, {Zones: []string{"a"}, PerZone: -1}, {Zones: []string{"a"}, PerZone: maxShards + 1}} {
+		if err := l.Validate(); result.Of(err) != result.JournalCorrupt {
+			t.Errorf("%+v: %v, want code %d", l, err, result.JournalCorrupt)
+		}
+	}
+	for _, l := range []Layout{{}, {Zones: []string{"a"}}, {Zones: []string{"a"}, PerZone: maxShards}} {
+		if err := l.Validate(); err != nil {
+			t.Errorf("%+v: %v", l, err)
+		}
+	}
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -81,7 +81,7 @@
 
 // observe records a received ping or the reply to one.
 func (p *peers) observe(m *Ping) {
-	if m.Layout != nil {
+	if m.Layout != nil && m.Layout.Validate() == nil {
 		p.node.peerLayout.CompareAndSwap(nil, m.Layout)
 	}
 	known := p.update(m.From)
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -29,6 +29,14 @@
 	Loan     *Loan `json:"loan,omitempty"`  // set if the job is a task that another shard has lent
 }
 
+// Validate returns an error with the code JobBad or LoanBad if the row is not a job or a loan.
+func (a *Accepted) Validate() error {
+	if a.Loan != nil {
+		return a.Loan.Validate(&a.Spec)
+	}
+	return a.Spec.Validate()
+}
+
 // Moved names the shard to which a job was moved before any of its tasks started, or the
 // lender to which a loan was returned.
 type Moved struct {
@@ -47,6 +55,30 @@
 	Moved     *Moved             `json:"m,omitempty"`
 }
 
+// Validate returns an error with the code JournalCorrupt if the record is none of a job with spec.
+func (r *Record) Validate(spec *Spec) error {
+	switch r.State {
+	case Queued, Running, Completed, Failed, Cancelled:
+	default:
+		return result.Errorf(result.JournalCorrupt, "state %q", r.State)
+	}
+	want := 0
+	for i := range spec.Steps {
+		want += spec.Steps[i].Tasks
+	}
+	for k, tasks := range r.Tasks {
+		if k < 0 || k >= spec.Occurrences() || len(tasks) != 0 && len(tasks) != want {
+			return result.Errorf(result.JournalCorrupt, "%d tasks in occurrence %d, want %d in each of %d", len(tasks), k, want, spec.Occurrences())
+		}
+		for i := range tasks {
+			if tasks[i].Phase > Lent || tasks[i].Run < 0 {
+				return result.Errorf(result.JournalCorrupt, "task %d in phase %d with run %d", i, tasks[i].Phase, tasks[i].Run)
+			}
+		}
+	}
+	return nil
+}
+
 // Encode returns v as the value of a row.
 func Encode(v any) []byte {
 	b, err := json.Marshal(v)
