--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -77,7 +77,11 @@
 		if t.stage == stagePlanned || t.stage == stageSent || !h.runLost(t, now) {
 			continue
 		}
-		logger.WithField("task", t.name).WithField("run", t.Run).WithField("worker", h.ID).Info("run lost with its worker")
+		entry := logger.WithField("task", t.name).WithField("run", t.Run).WithField("worker", h.ID).WithField("stage", int(t.stage))
+		if t.stage == stageRunning && h.lastSilence > 0 {
+			entry = entry.WithField("ran", (h.lastSilence - t.stageSince).String())
+		}
+		entry.Info("run lost with its worker")
 		since := now
 		if t.step.LongRunning && t.job.loan == nil {
 			since = h.unreachableSince // it may have had no run since then
--- a/internal/workload/spec_test.go
+++ b/internal/workload/spec_test.go
@@ -44,6 +44,20 @@
 	}
 }
 
+// The store holds at most 64 KiB in a row.
+func TestLargestRecordFitsARow(t *testing.T) {
+	r := Record{State: Cancelled, EndMillis: 1 << 42, Tasks: map[int][]Progress{0: nil}}
+	for range maxTasks {
+		r.Tasks[0] = append(r.Tasks[0], Progress{
+			Phase: Placed, Run: 99, Failures: 9, Worker: "i-e24692e987", Incarnation: 1 << 41, Checkpoint: "00000bb87a21d94b",
+			Crashes: Crashes{Total: 4, AtStart: 4},
+		})
+	}
+	if n := len(Encode(r)); n > 64<<10 {
+		t.Errorf("the largest record has %d bytes", n)
+	}
+}
+
 func TestCriticalPaths(t *testing.T) {
 	steps := []Step{{}, {After: []int{0}}, {After: []int{0}}, {After: []int{1, 2}}}
 	durations := []int64{10, 5, 7, 1}
