dispatch: a borrowed task leaves a draining worker

Callers saw: a long-running task that had been lent ended with its worker and waited for the lease, though its own shard had a free worker. Change: a borrowed task whose worker drains is offered like the others; when a shard with a free worker is found, the run is stopped and the loan returned at its end. The lender runs the task or lends it there.

--- a/internal/dispatch/borrow.go
+++ b/internal/dispatch/borrow.go
@@ -52,14 +52,17 @@
 	return nil, nil
 }
 
-// returnWaitingLoans returns the borrowed tasks that have waited for returnAfter, and
-// reports whether there were any. From the commit that stores this on, the shard may not run
+// returnWaitingLoans returns the borrowed tasks that have waited for returnAfter or were stopped
+// for it, and reports whether there were any. From the commit that stores this on, the shard may not run
 // them; the lender learns it after that commit. The caller holds the lock.
 func (s *Shard) returnWaitingLoans(now time.Duration) bool {
 	returned := false
 	for _, j := range s.borrowed {
 		t := j.findTask(workload.TaskID{})
-		if s.paused || t == nil || !j.stored || !j.active() || t.Phase != workload.Pending || now-t.pendingSince < returnAfter {
+		if s.paused || t == nil || !t.returnable() || t.Phase != workload.Pending {
+			continue
+		}
+		if t.lendTo == "" && now-t.pendingSince < returnAfter {
 			continue
 		}
 		j.returnLoan()
--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -171,7 +171,7 @@
 	if t.stage != stageRunning || !t.drainKept || t.stopWanted || now < t.lendAt || !s.reachable(t) {
 		return false
 	}
-	return s.hosts[t.Worker].Draining && t.step.MaxPerWorker == 0 && t.step.Label == "" && t.lendable()
+	return s.hosts[t.Worker].Draining && t.step.MaxPerWorker == 0 && t.step.Label == "" && (t.lendable() || t.returnable())
 }
 
 // reachable reports whether the worker of t answers, or t has none.
@@ -190,6 +190,9 @@
 	return t.step.LongRunning && !t.step.Gang && j.stored && j.active() && j.loan == nil && !j.spec.Timed() && (j.started() || j.movedHere)
 }
 
+// returnable reports whether t is a borrowed task that this shard may still run.
+func (t *task) returnable() bool { return t.job.loan != nil && t.job.stored && t.job.active() }
+
 // newLoan returns the job that a borrower stores for t.
 func (t *task) newLoan(lender string) workload.Accepted {
 	loan := &workload.Loan{Task: t.name, Lender: lender, Run: t.Run + 1, Failures: t.Failures, Checkpoint: t.Checkpoint, Crashes: t.Crashes}
@@ -225,8 +228,8 @@
 	return true
 }
 
-// stopForLoan stops the run of t on a draining worker. The task is lent to the shard once the run
-// has ended.
+// stopForLoan stops the run of t on a draining worker. Once the run has ended, the task is lent to the
+// shard or, if it is borrowed, returned to its lender, which runs it or lends it there.
 func (s *Shard) stopForLoan(t *task, shard string, now time.Duration) {
 	t.lendTo, t.stopWanted = shard, true
 	s.sendStopIfDue(t, s.hosts[t.Worker], now)
