--- a/internal/dispatch/commands.go
+++ b/internal/dispatch/commands.go
@@ -181,9 +181,9 @@
 		s.refuseUnsentJobs()
 	}
 	for id, h := range s.hosts {
-		if !h.listed && !h.replaced && !h.lossLogged && len(h.tasks) > 0 && h.unreachableSince > 0 && now > h.leasesExpireAt {
-			h.lossLogged = true
-			s.logLoss(h, lossLeaseExpired)
+		if !h.listed && !h.replaced && !h.lossRecorded && len(h.tasks) > 0 && h.unreachableSince > 0 && now > h.leasesExpireAt {
+			h.lossRecorded = true
+			s.recordLoss(h, lossLeaseExpired)
 		}
 		replan = s.returnLostRuns(h, now) || replan
 		for _, t := range h.tasks {
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -14,6 +14,8 @@
 	// settleAfter is how long a worker must answer after it has begun a run before the run counts
 	// as outliving its start.
 	settleAfter = time.Second
+	// crashesWithin is how soon after the start a worker must fall silent to be certain evidence.
+	crashesWithin = 400 * time.Millisecond
 	// clearAfter is how long a run must work before earlier crashes are forgotten.
 	clearAfter = 30 * time.Second
 	// probationCrashes is how many workers in a row must have been lost soon after the start of a
@@ -22,6 +24,8 @@
 	// maxStartCrashes is how many workers in a row may crash soon after the start of a task before
 	// its job fails. The last of these runs started alone, so no other task can have caused all.
 	maxStartCrashes = 3
+	// minCertainCrashes is how many of them must have no other explanation, the last one included.
+	minCertainCrashes = 2
 	// maxCrashes is the same whatever the age of the runs. The platform allows two more starts
 	// after three crashes.
 	maxCrashes = 5
@@ -41,12 +45,15 @@
 // maxLoggedSuspects bounds the tasks that a log line names.
 const maxLoggedSuspects = 8
 
-// logLoss logs and counts the loss of a worker with its runs. The caller holds the lock.
-func (s *Shard) logLoss(h *host, cause lossCause) {
+// recordLoss logs and counts the loss of a worker with its runs, and whether a suspect was among
+// them. The caller holds the lock.
+func (s *Shard) recordLoss(h *host, cause lossCause) {
 	var suspects []string
+	h.lostSuspect = false
 	for name, t := range h.tasks {
 		if t.mayHaveCrashed() {
 			suspects = append(suspects, name)
+			h.lostSuspect = h.lostSuspect || t.suspect()
 		}
 	}
 	slices.Sort(suspects)
@@ -62,7 +69,7 @@
 // that the renewal named is over, and with it every run that it had. The caller holds the lock.
 func (s *Shard) handleReplacement(h *host, now time.Duration) {
 	h.replaced, h.leasesExpireAt = true, now
-	s.logLoss(h, lossReplaced)
+	s.recordLoss(h, lossReplaced)
 	if s.returnLostRuns(h, now) {
 		s.wakeCommitLoop()
 	}
@@ -95,26 +102,33 @@
 	return lost
 }
 
-// crashed reports whether the loss of h counts as a crash: it was not leaving, and it does not
-// merely fail to answer this owner.
-func (h *host) crashed() bool { return !h.Draining && (h.replaced || !h.listed) }
+// crashed reports whether the loss of h counts as a crash: it does not merely fail to answer this
+// owner.
+func (h *host) crashed() bool { return h.replaced || !h.listed }
 
 // countCrash counts the crash of h, on which a run of t was lost. It is proven if a later
 // incarnation or another worker has answered. The caller holds the lock.
 func (s *Shard) countCrash(t *task, h *host, proven bool) {
-	alone := s.lostAlone(h)
-	if alone {
-		t.Crashes.Total++
+	atStart := !t.settled && h.lostAtStartOf(t)
+	if h.Draining && !atStart {
+		return // it left
 	}
+	alone := s.lostAlone(h)
 	if !t.settled {
 		t.AtStart++
 	}
-	certain := proven && alone && t.startSeen() && t.lostAt != h.Address
+	if alone && !(t.settled && h.lostSuspect) {
+		t.Crashes.Total++
+	}
+	certain := proven && alone && atStart && t.lostAt != h.Address
+	if certain {
+		t.certainCrashes++
+	}
 	t.lostAt, t.lostInRack, t.job.dirty = h.Address, h.Rack, true
 	if !proven {
 		s.presumeCrash(t, h)
 	}
-	s.giveUpIfCrashing(t, certain)
+	s.giveUpIfCrashing(t, certain && t.certainCrashes >= minCertainCrashes)
 }
 
 const (
@@ -217,7 +231,7 @@
 	if !t.settled && age >= settleAfter {
 		t.settled = true
 		if t.AtStart > 0 {
-			t.AtStart, t.job.dirty = 0, true
+			t.AtStart, t.certainCrashes, t.job.dirty = 0, 0, true
 			s.wakeCommitLoop() // its worker takes starts again
 		}
 	}
@@ -226,9 +240,17 @@
 	}
 }
 
-// startSeen reports whether the worker of t was alive at the start, as far as this owner knows.
-func (t *task) startSeen() bool {
-	return t.stage == stageRunning || t.stage == stageUnconfirmed && !t.startTimedOut
+// lostAtStartOf reports whether this owner saw that h was alive at the start of t and, as far as it
+// can tell, fell silent right after it.
+func (h *host) lostAtStartOf(t *task) bool {
+	if t.stage != stageRunning {
+		return t.stage == stageUnconfirmed && !t.startTimedOut
+	}
+	silentFrom := h.lastSilence
+	if h.silenceTimedOut {
+		silentFrom = h.clockAt // its last response
+	}
+	return silentFrom-t.stageSince <= crashesWithin
 }
 
 // suspect reports whether the last worker of t was lost soon after the start.
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -28,7 +28,8 @@
 	lastSilence      time.Duration // when it last became unreachable or was seen to have restarted, 0 for never
 	silenceTimedOut  bool          // that was noticed by a call that timed out
 	replaced         bool          // another worker answers at its address
-	lossLogged       bool          // the loss of the worker with expired leases has been logged
+	lossRecorded     bool          // the loss of the worker with expired leases has been recorded
+	lostSuspect      bool          // a suspect was lost with the worker
 	appliedEnd       int64         // number of the last run end applied to the jobs
 	durableEnd       int64         // number of the last run end whose effect is durable
 	wake             chan struct{} // signals new runs or newly durable run ends
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -71,6 +71,7 @@
 	throttledAt     time.Duration // when the CPU limit was last changed
 	startCPULimit   int           // CPU limit to apply after the start, in percent; 0 for none
 	avoidWorker     string        // worker on which the last run failed
+	certainCrashes  int           // workers that were lost right after this owner had seen them start it, apart from others
 	lostAt          string        // address of the worker with which the last run was lost
 	lostInRack      string        // rack in which the last run was lost with its worker
 	notBefore       time.Duration // not placed before then
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -163,7 +163,7 @@
 // incarnation are gone, but a start on its way may still reach the new one: a stop is sent
 // for each start without a response.
 func (s *Shard) handleRestart(h *host, incarnation int64) {
-	s.logLoss(h, lossRestarted)
+	s.recordLoss(h, lossRestarted)
 	h.lastSilence, h.silenceTimedOut = s.now(), true // noticed by the next renewal
 	h.resetIncarnation(incarnation)
 	for name, late := range h.unansweredStarts {
--- a/internal/workload/task.go
+++ b/internal/workload/task.go
@@ -52,7 +52,7 @@
 
 // Crashes counts the workers that were lost one after the other with a run of a task.
 type Crashes struct {
-	Total   int `json:"cr,omitempty"` // since a run of the task last worked for long, without losses of several workers at a time
+	Total   int `json:"cr,omitempty"` // since a run of the task last worked for long, but for losses that something else explains
 	AtStart int `json:"cs,omitempty"` // since a run last outlived its start; those lost soon after they had begun the run
 }
 
