dispatch: crashes on draining workers count at the start; gangs on probation share workers

Cause: a crash on a draining worker whose start this owner had not seen was not counted, so the sixth start was made. A gang with more members on probation than workers could not start at all, by reading. A lender took a returned loan with three uncertain losses for a certain one, by reading. TestGangOnProbationStartsOnFewWorkers guards the second. Change: on a draining worker the loss of a run that had not outlived its start counts. Gangs may share workers with their own members. A borrower that is certain saturates the count. probation.go holds the placement. Conclusion: the remaining way to an uncounted crash is a silent worker that stays in the registry.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -18,9 +18,6 @@
 	crashesWithin = 400 * time.Millisecond
 	// clearAfter is how long a run must work before earlier crashes are forgotten.
 	clearAfter = 30 * time.Second
-	// probationCrashes is how many workers in a row must have been lost soon after the start of a
-	// task before its next run is separated from other starts.
-	probationCrashes = 2
 	// maxStartCrashes is how many workers in a row may crash soon after the start of a task before
 	// its job fails. The last of these runs started alone, so no other task can have caused all.
 	maxStartCrashes = 3
@@ -29,8 +26,6 @@
 	// maxCrashes is the same whatever the age of the runs. The platform allows two more starts
 	// after three crashes.
 	maxCrashes = 5
-	// maxProbationShare is the largest share of the workers that are separated at a time.
-	maxProbationShare = 1.0 / 8
 )
 
 // lossCause is how the owner learned that an incarnation of a worker is over.
@@ -109,9 +104,8 @@
 // countCrash counts the crash of h, on which a run of t was lost. It is proven if a later
 // incarnation or another worker has answered. The caller holds the lock.
 func (s *Shard) countCrash(t *task, h *host, proven bool) {
-	atStart := !t.settled && h.lostAtStartOf(t)
-	if h.Draining && !atStart {
-		return // it left
+	if h.Draining && t.settled {
+		return // it left; a worker that drains gets no start for seconds before
 	}
 	alone := s.lostAlone(h)
 	if !t.settled {
@@ -120,7 +114,7 @@
 	if alone && !(t.settled && h.lostSuspect) {
 		t.Crashes.Total++
 	}
-	certain := proven && alone && atStart && t.lostAt != h.Address
+	certain := proven && alone && h.lostAtStartOf(t) && t.lostAt != h.Address
 	if certain {
 		t.certainCrashes++
 	}
@@ -215,6 +209,7 @@
 		return
 	}
 	if j.loan != nil {
+		t.AtStart = maxCrashes // the lender cannot tell how certain the cause is
 		j.returnLoan()
 		return
 	}
@@ -253,51 +248,6 @@
 	return silentFrom-t.stageSince <= crashesWithin
 }
 
-// suspect reports whether the last worker of t was lost soon after the start.
-func (t *task) suspect() bool { return t.AtStart > 0 }
-
-// onProbation reports whether the run of t must be the only start on its worker until it has
-// outlived its start.
-func (t *task) onProbation() bool { return t.AtStart >= probationCrashes }
-
-// probationFits separates a task under which several workers were lost from other starts, so that
-// the next loss clears or convicts it. Tasks that were lost once have run beside each other and are
-// kept apart from it.
-func probationFits(t *task, _ *fleet.Queue, sl *slot) bool {
-	return !sl.probation && (!t.onProbation() || sl.suspects == 0)
-}
-
-// suspectCost spreads suspects over the workers, and prefers those where a crash costs least.
-func suspectCost(t *task, sl *slot, _ *planPass) float64 {
-	if !t.suspect() {
-		return besideSuspectCost * float64(sl.suspects)
-	}
-	reserved := 0.0
-	if total := sl.host.Capacity.MilliCPU; total > 0 {
-		reserved = 1 - float64(sl.free.MilliCPU)/float64(total)
-	}
-	cost := suspectsTogetherCost*float64(sl.suspects) + suspectLoadCost*reserved
-	if sl.host.Rack == t.lostInRack {
-		cost += sameRackCost
-	}
-	return cost
-}
-
-const (
-	// besideSuspectCost is the cost of a start beside a suspect.
-	besideSuspectCost = 1.0
-	// suspectsTogetherCost exceeds the cost of a rack without the task's data: two suspects on a
-	// worker that crashes cannot be told apart.
-	suspectsTogetherCost = 5.0
-	// sameRackCost keeps a suspect out of the rack of its last worker, which may be the cause.
-	sameRackCost = 3.0
-	// suspectLoadCost exceeds the gain of packing services together.
-	suspectLoadCost = 2.0
-)
-
-// maxProbations is how many of n workers may be on probation at a time.
-func maxProbations(n int) int { return max(1, int(maxProbationShare*float64(n))) }
-
 // mayHaveCrashed reports whether the run of t had begun and its worker has not answered for
 // settleAfter since.
 func (t *task) mayHaveCrashed() bool { return t.stage != stagePlanned && !t.settled }
--- a/internal/dispatch/crash_walk_test.go
+++ b/internal/dispatch/crash_walk_test.go
@@ -25,12 +25,14 @@
 		seed := *crashFirst + i
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			withCluster(t, 8, func(tc *testCluster) { runCrashWalk(tc, rand.New(rand.NewPCG(seed, 8))) })
+			withCluster(t, 8, func(tc *testCluster) { runCrashWalk(tc, seed) })
 		})
 	}
 }
 
-func runCrashWalk(tc *testCluster, r *rand.Rand) {
+// runCrashWalk runs the walk of a seed, which the ids of its jobs contain.
+func runCrashWalk(tc *testCluster, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 8))
 	tc.workers.SetCrashes(isCrashing)
 	tc.workers.SetDuration(func(task string) time.Duration {
 		if strings.HasPrefix(task, "long") {
@@ -47,10 +49,10 @@
 		fault.begin(tc)
 		time.AfterFunc(time.Duration(r.IntN(5000))*time.Millisecond, func() { fault.end(tc) })
 		for range 1 + r.IntN(5) {
-			spec := jobWithSteps(fmt.Sprint("good", len(good)), []string{"short", "batch"}[r.IntN(2)], 1+r.IntN(6), 1+r.IntN(3))
+			spec := jobWithSteps(fmt.Sprintf("good%dx%d", seed, len(good)), []string{"short", "batch"}[r.IntN(2)], 1+r.IntN(6), 1+r.IntN(3))
 			ids := &good
 			if len(bad) < 4 && r.IntN(8) == 0 {
-				spec.ID, ids = fmt.Sprint("bad", len(bad)), &bad
+				spec.ID, ids = fmt.Sprintf("bad%dx%d", seed, len(bad)), &bad
 			}
 			crashingJobs[[]int{0, 3, 4, 5}[r.IntN(4)]].edit(&spec)
 			go submitUntilAccepted(tc, spec)
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -127,7 +127,7 @@
 // expire.
 func (h *host) recordClock(clock int64, now time.Duration) {
 	h.clock, h.clockAt = clock, now
-	h.unreachableSince = 0
+	h.unreachableSince, h.lossRecorded = 0, false
 	left := time.Duration(float64(h.maxLeaseUntil-clock)*clockDriftFactor) * time.Millisecond
 	h.leasesExpireAt = now + max(left, 0) + expiryMargin
 }
--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -372,6 +372,6 @@
 	}
 	t.Run, t.Failures, t.Checkpoint, t.Crashes = max(t.Run, p.Run), max(t.Failures, p.Failures), p.Checkpoint, p.Crashes
 	s.endLoan(t, s.now()-lendAfter)
-	s.giveUpIfCrashing(t, true)
+	s.giveUpIfCrashing(t, false)
 	logger.WithField("task", t.name).WithField("shard", s.cfg.Name).WithField("run", t.Run).Info("loan returned")
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -18,7 +18,7 @@
 	idleCPU   int64           // CPU that is not expected to be used, in thousandths of a core
 	services  int             // number of services, that is, runs with a tail latency target
 	suspects  int             // runs that have not outlived their start and whose last worker was lost in theirs
-	probation bool            // one of them must be the only start
+	probation *job            // job of one that must be the only start, nil for none
 	// maxBackfillShare caches, by image, the fraction of the host's CPU that one more run
 	// of a backfill image may use.
 	maxBackfillShare map[string]float64
@@ -216,7 +216,7 @@
 	for _, sl := range p.slots {
 		free += sl.free.MilliCPU
 		total += sl.host.Capacity.MilliCPU
-		if sl.probation {
+		if sl.probation != nil {
 			p.probations++
 		}
 	}
@@ -336,7 +336,9 @@
 	if t.suspect() {
 		sl.suspects++
 	}
-	sl.probation = sl.probation || t.onProbation()
+	if t.onProbation() {
+		sl.probation = t.job
+	}
 }
 
 // reserve subtracts the needs of t from the slot.
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -519,3 +519,48 @@
 		}
 	}
 }
+
+// A gang whose members are all on probation may share workers: it starts whole or not at all.
+func TestGangOnProbationStartsOnFewWorkers(t *testing.T) {
+	f := newFixture(2)
+	j := f.add("a", "short", workload.Step{Tasks: 4, Gang: true})
+	for _, member := range j.tasks[0] {
+		member.AtStart = probationCrashes
+	}
+	f.plan(f.now)
+	for _, member := range j.tasks[0] {
+		if member.Phase != workload.Placed {
+			t.Errorf("%s is not placed", member.name)
+		}
+	}
+}
+
+// A task on probation is the only start on its worker, and few workers are on probation at a time.
+func TestTaskOnProbationStartsAlone(t *testing.T) {
+	for _, c := range []struct{ hosts, suspects, want int }{{2, 3, 1}, {8, 3, 1}, {16, 3, 2}, {24, 3, 3}} {
+		t.Run(fmt.Sprint(c.hosts), func(t *testing.T) {
+			f := newFixture(c.hosts)
+			j := f.add("a", "short", workload.Step{Tasks: c.suspects})
+			for _, suspect := range j.tasks[0] {
+				suspect.AtStart = probationCrashes
+			}
+			others := f.add("b", "short", workload.Step{Tasks: 2 * c.hosts})
+			f.plan(f.now)
+			placed := 0
+			for _, suspect := range j.tasks[0] {
+				if suspect.Phase != workload.Placed {
+					continue
+				}
+				placed++
+				for _, other := range others.tasks[0] {
+					if other.Worker == suspect.Worker && other.Phase == workload.Placed {
+						t.Errorf("%s is placed beside %s", other.name, suspect.name)
+					}
+				}
+			}
+			if placed != c.want {
+				t.Errorf("%d tasks are on probation, want %d", placed, c.want)
+			}
+		})
+	}
+}
