dispatch: a crash after the start is laid to the task that was lost most often

Cause: with a task that crashes its workers seconds after the start, all that were beside it counted each loss, were placed beside it again on the emptiest worker, and were given up with it. Change: such a loss counts for the tasks on the worker that have seen the most of them; tasks that were lost together are parted. Conclusion: the total stays a bound for causes that no start shows.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -40,12 +40,13 @@
 // maxLoggedSuspects bounds the tasks that a log line names.
 const maxLoggedSuspects = 8
 
-// recordLoss logs and counts the loss of a worker with its runs, and whether a suspect was among
-// them. The caller holds the lock.
+// recordLoss logs and counts the loss of a worker with its runs, and records whether a suspect was
+// among them and how many crashes any of them had seen. The caller holds the lock.
 func (s *Shard) recordLoss(h *host, cause lossCause) {
 	var suspects []string
-	h.lostSuspect = false
+	h.lostSuspect, h.mostCrashes = false, 0
 	for name, t := range h.tasks {
+		h.mostCrashes = max(h.mostCrashes, t.Crashes.Total)
 		if t.mayHaveCrashed() {
 			suspects = append(suspects, name)
 			h.lostSuspect = h.lostSuspect || t.suspect()
@@ -115,7 +116,7 @@
 	if !t.settled {
 		t.AtStart++
 	}
-	if alone && !(t.settled && h.lostSuspect) {
+	if alone && t.Crashes.Total >= h.mostCrashes && !(t.settled && h.lostSuspect) {
 		t.Crashes.Total++
 	}
 	certain := proven && alone && h.lostAtStartOf(t) && t.lostAt != h.Address
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -284,3 +284,24 @@
 		})
 	}
 }
+
+// A task that crashes its workers long after the start is given up, too; those beside it are not.
+func TestTaskThatCrashesItsWorkersLateIsGivenUp(t *testing.T) {
+	for _, delay := range []time.Duration{1500 * time.Millisecond, 5 * time.Second, 20 * time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			withCluster(t, 6, func(tc *testCluster) {
+				tc.workers.SetCrashes(isCrashing)
+				tc.workers.SetCrashDelay(delay)
+				tc.setDurations("aa", time.Minute)
+				tc.waitForWorkers()
+				lasting := tc.startLongRunning("aa", 12, 1000)
+				tc.submit(crashingJob())
+				tc.await("bad", workload.Failed, allowedCrashes*(delay+10*time.Second))
+				if n := tc.workers.CrashesBy(crashingTask); n > allowedCrashes {
+					t.Errorf("the task crashed %d workers, at most %d are allowed", n, allowedCrashes)
+				}
+				tc.awaitRuns(lasting.ID, 12, 20*time.Second)
+			})
+		})
+	}
+}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -30,6 +30,7 @@
 	replaced         bool          // another worker answers at its address
 	lossRecorded     bool          // the loss of the worker with expired leases has been recorded
 	lostSuspect      bool          // a suspect was lost with the worker
+	mostCrashes      int           // most earlier crashes of a task that was lost with the worker
 	appliedEnd       int64         // number of the last run end applied to the jobs
 	durableEnd       int64         // number of the last run end whose effect is durable
 	wake             chan struct{} // signals new runs or newly durable run ends
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -18,6 +18,7 @@
 	idleCPU   int64           // CPU that is not expected to be used, in thousandths of a core
 	services  int             // number of services, that is, runs with a tail latency target
 	suspects  int             // runs that have not outlived their start and whose last worker was lost in theirs
+	crashed   int             // runs whose earlier workers crashed
 	probation *job            // job of one that must be the only start, nil for none
 	// maxBackfillShare caches, by image, the fraction of the host's CPU that one more run
 	// of a backfill image may use.
@@ -336,6 +337,9 @@
 	if t.suspect() {
 		sl.suspects++
 	}
+	if t.Crashes.Total > 0 {
+		sl.crashed++
+	}
 	if t.onProbation() {
 		sl.probation = t.job
 	}
--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -30,7 +30,11 @@
 // suspectCost spreads suspects over the workers, and prefers those where a crash costs least.
 func suspectCost(t *task, sl *slot, _ *planPass) float64 {
 	if !t.suspect() {
-		return besideSuspectCost * float64(sl.suspects)
+		cost := besideSuspectCost * float64(sl.suspects)
+		if t.Crashes.Total > 0 {
+			cost += crashedTogetherCost * float64(sl.crashed)
+		}
+		return cost
 	}
 	reserved := 0.0
 	if total := sl.host.Capacity.MilliCPU; total > 0 {
@@ -46,6 +50,9 @@
 const (
 	// besideSuspectCost is the cost of a start beside a suspect.
 	besideSuspectCost = 1.0
+	// crashedTogetherCost parts tasks that were lost together after their starts: the cause is the one
+	// that is lost again without the others.
+	crashedTogetherCost = 1.5
 	// suspectsTogetherCost exceeds the cost of a rack without the task's data: two suspects on a
 	// worker that crashes cannot be told apart.
 	suspectsTogetherCost = 5.0
--- a/internal/fleetfake/workers.go
+++ b/internal/fleetfake/workers.go
@@ -73,6 +73,7 @@
 	needs               func(task string) resource.Vector
 	checksCapacity      bool
 	crashCount          map[string]int // by task
+	crashDelay          time.Duration
 	replacements        int
 	fault               func(kind, worker string) Fault
 	lateSurvivesRestart bool
@@ -84,7 +85,7 @@
 // NewWorkers returns workers that register in store.
 func NewWorkers(store *Store) *Workers {
 	return &Workers{
-		store: store, byID: map[string]*fakeWorker{}, acknowledged: map[string]int64{}, crashCount: map[string]int{},
+		store: store, byID: map[string]*fakeWorker{}, acknowledged: map[string]int64{}, crashCount: map[string]int{}, crashDelay: DefaultCrashDelay,
 		duration: func(string) time.Duration { return 300 * time.Millisecond },
 	}
 }
@@ -171,8 +172,9 @@
 }
 
 const (
-	// crashDelay is the time from the start of a run that crashes its worker to the crash.
-	crashDelay = 10 * time.Millisecond
+	// DefaultCrashDelay is the time from the start of a run that crashes its worker to the crash, unless
+	// SetCrashDelay changes it.
+	DefaultCrashDelay = 10 * time.Millisecond
 	// ReplacementDelay is the time from the crash of a worker to the start of its replacement.
 	ReplacementDelay = 3 * time.Second
 	// crashedListedFor is how long the registration of a crashed worker remains.
@@ -213,6 +215,13 @@
 	}
 }
 
+// SetCrashDelay sets the time from the start of a run that crashes its worker to the crash.
+func (w *Workers) SetCrashDelay(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crashDelay = d
+}
+
 // CrashesBy returns how many workers a task has crashed.
 func (w *Workers) CrashesBy(task string) int {
 	w.mu.Lock()
@@ -269,7 +278,7 @@
 		return
 	}
 	incarnation := fw.incarnation
-	time.AfterFunc(crashDelay, func() {
+	time.AfterFunc(w.crashDelay, func() {
 		w.mu.Lock()
 		crashes := fw.incarnation == incarnation && !fw.dead && fw.runs[task] != nil
 		if crashes {
