--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -56,7 +56,6 @@
 	Evictions int
 	Failures  int
 	FailedOn  []string // workers of the latest failures, newest last
-	Crashes   int      // workers that restarted one after the other, soon after they had started it
 }
 
 // Snapshot is the immutable state of one shard at Now. All times are readings of
--- a/internal/shard/config.go
+++ b/internal/shard/config.go
@@ -38,11 +38,8 @@
 	maxMissedExchanges = 3 // exchange intervals without a reply until a worker counts as unreachable
 	backoffMin         = 2 * time.Second
 	backoffMax         = 5 * time.Minute
-	// crashWindow is how soon after the start of a run its worker must restart for the run to be
-	// a suspect. A restart is noticed some exchanges later.
-	crashWindow   = 15 * time.Second
-	inboxPageSize = 100
-	maxEvents     = 4096 // kept for explain
+	inboxPageSize      = 100
+	maxEvents          = 4096 // kept for explain
 )
 
 // Platform gives an owner access to the platform's services.
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -51,7 +51,6 @@
 	Evictions int    `json:"evictions"`
 	Failures  int    `json:"failures"`
 	Moves     int    `json:"moves"`
-	Crashes   int    `json:"crashes,omitempty"`
 }
 
 // CancelRecord cancels a job's tasks in the shard.
@@ -124,7 +123,6 @@
 	Proof      Proof             `json:"proof"`
 	Reason     string            `json:"reason,omitempty"`
 	Checkpoint int64             `json:"checkpoint"`
-	Crashed    bool              `json:"crashed,omitempty"` // the worker restarted within crashWindow of the start
 }
 
 // MovedRecord moves a waiting task to another shard.
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -52,7 +52,6 @@
 	Evictions int        `json:"evictions"`
 	Failures  int        `json:"failures"`
 	FailedOn  []string   `json:"failed_on,omitempty"` // workers of the newest failures, newest last
-	Crashes   int        `json:"crashes,omitempty"`   // workers that restarted one after the other, soon after they had started it
 	Moves     int        `json:"moves,omitempty"`     // between shards
 	MovedTo   string     `json:"moved_to,omitempty"`
 	Reason    string     `json:"reason,omitempty"` // of the newest run's end
