dispatch: rows of accepted jobs are decoded and validated in one place

Change: the load of a shard and its inbox had the same three checks; both call decodeAccepted. A bad inbox row with several faults may log another of them first; it is refused as before.

--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -77,16 +77,21 @@
 	s.recordPublishedExpiries(s.heartbeat.LeaseExpiries)
 }
 
-// restoreJob adds the job of an accepted row.
-func (s *Shard) restoreJob(r fleet.Row) {
+// decodeAccepted decodes the row of the job with the given id and validates it.
+func decodeAccepted(r fleet.Row, id string) (workload.Accepted, error) {
 	var a workload.Accepted
-	err := workload.Decode(r.Value, &a)
-	if err == nil {
-		err = a.Validate()
+	if err := workload.Decode(r.Value, &a); err != nil {
+		return a, err
 	}
-	if err == nil && a.Spec.ID != r.Key {
-		err = result.Errorf(result.JournalCorrupt, "job %q", a.Spec.ID)
+	if a.Spec.ID != id {
+		return a, result.Errorf(result.JournalCorrupt, "job %q", a.Spec.ID)
 	}
+	return a, a.Validate()
+}
+
+// restoreJob adds the job of an accepted row.
+func (s *Shard) restoreJob(r fleet.Row) {
+	a, err := decodeAccepted(r, r.Key)
 	if err != nil {
 		s.setAside(r, err)
 		return
@@ -270,18 +275,12 @@
 
 // applyInboxJob admits the job of an inbox row.
 func (s *Shard) applyInboxJob(r fleet.Row) {
-	var a workload.Accepted
-	err := workload.Decode(r.Value, &a)
-	switch {
-	case err != nil:
-	case a.Loan != nil:
+	a, err := decodeAccepted(r, inboxJobID(r.Key))
+	if err == nil && a.Loan != nil {
 		err = result.Errorf(result.LoanBad, "loan of %s in the inbox", a.Loan.Task)
-	case a.Spec.ID != inboxJobID(r.Key):
-		err = result.Errorf(result.JournalCorrupt, "job %q", a.Spec.ID)
-	case s.isUnreadable(a.Spec.ID):
+	}
+	if err == nil && s.isUnreadable(a.Spec.ID) {
 		err = errUnreadable(a.Spec.ID)
-	default:
-		err = a.Validate()
 	}
 	if err != nil {
 		s.logUnreadable(r, err)
