--- /dev/null
+++ b/internal/colocation/estimates.go
@@ -0,0 +1,119 @@
+package colocation
+
+import "math"
+
+// Estimates are the estimates of a shard, as they are stored and sent to other shards.
+type Estimates struct {
+	BaselineTails map[string]float64 `json:"quiet"` // lowest tail latency of each service image, milliseconds
+	Pairs         []PairEstimate     `json:"pairs"`
+	FullShares    map[string]float64 `json:"full,omitempty"`   // share of readings with full use, by backfill image
+	PeriodMillis  int64              `json:"period,omitempty"` // of the loads of services
+}
+
+// PairEstimate is the estimated weight of a backfill image next to a service image: the
+// utilisation that it adds to the service per share of the worker's CPU, at full use of its CPU. The
+// weight at reduced use is absent from the estimates of an earlier version.
+type PairEstimate struct {
+	BackfillImage   string  `json:"f"`
+	ServiceImage    string  `json:"s"`
+	Mean            float64 `json:"m"`
+	Variance        float64 `json:"v"`
+	ReducedMean     float64 `json:"rm,omitempty"`
+	ReducedVariance float64 `json:"rv,omitempty"`
+}
+
+// weights returns the weights of the pair by use.
+func (p *PairEstimate) weights() weights {
+	w := newWeights()
+	w[UseFull] = weight{p.Mean, p.Variance}
+	if p.ReducedVariance > 0 {
+		w[UseReduced] = weight{p.ReducedMean, p.ReducedVariance}
+	}
+	return w
+}
+
+// Known reports whether there is anything to store.
+func (m *Model) Known() bool { return len(m.baselines) > 0 }
+
+// Estimates returns all estimates but the curves, which a successor learns within a period.
+func (m *Model) Estimates() Estimates {
+	e := Estimates{
+		BaselineTails: make(map[string]float64, len(m.baselines)), Pairs: make([]PairEstimate, 0, len(m.pairs)),
+		FullShares: make(map[string]float64, len(m.fullShares)), PeriodMillis: int64(1000 * periodOf(m.period)),
+	}
+	for image, q := range m.baselines {
+		e.BaselineTails[image] = q
+	}
+	for image, p := range m.fullShares {
+		e.FullShares[image] = round(p)
+	}
+	for p, w := range m.pairs {
+		e.Pairs = append(e.Pairs, PairEstimate{
+			p.backfill, p.service, round(w[UseFull].mean), round(w[UseFull].variance), round(w[UseReduced].mean), round(w[UseReduced].variance),
+		})
+	}
+	return e
+}
+
+// round rounds v to three decimals. Estimated weights are less precise than that.
+func round(v float64) float64 { return math.Round(v*1000) / 1000 }
+
+// Restore loads the estimates that an earlier owner stored.
+func (m *Model) Restore(e Estimates) {
+	for image, q := range e.BaselineTails {
+		m.baselines[image] = q
+	}
+	for image, p := range e.FullShares {
+		m.fullShares[image] = p
+	}
+	for i := range e.Pairs {
+		w := e.Pairs[i].weights()
+		m.pairs[pair{e.Pairs[i].BackfillImage, e.Pairs[i].ServiceImage}] = &w
+	}
+	m.setPeriod(e.PeriodMillis)
+}
+
+// setPeriod chooses the candidate nearest to a period, if there is one.
+func (m *Model) setPeriod(millis int64) {
+	if millis <= 0 {
+		return
+	}
+	i := math.Round(math.Log(float64(millis)/float64(minPeriod.Milliseconds())) / math.Log(periodStep))
+	m.period = int(min(periods-1, max(0, i)))
+}
+
+// mergeVarianceRatio is the most that the variance of another shard's estimate may be, as a
+// fraction of the own one, for the estimate to be merged. As merging raises the variance,
+// the shard that an estimate came from does not merge it back.
+const mergeVarianceRatio = 0.7
+
+// Merge replaces each estimate of this shard by that of another shard if the variance of the
+// latter is much lower, and adopts lower baseline tails. Tasks of an image behave alike on
+// every shard. It returns the number of replaced or added pairs.
+func (m *Model) Merge(e Estimates) int {
+	for image, q := range e.BaselineTails {
+		m.observeBaseline(image, q)
+	}
+	for image, p := range e.FullShares {
+		if _, ok := m.fullShares[image]; !ok {
+			m.fullShares[image] = p
+		}
+	}
+	n := 0
+	for i := range e.Pairs {
+		p := pair{e.Pairs[i].BackfillImage, e.Pairs[i].ServiceImage}
+		own, other := m.weightsOf(p), e.Pairs[i].weights()
+		adopted := false
+		for u := UseFull; u < uses; u++ {
+			if other[u].variance < mergeVarianceRatio*own[u].variance {
+				own[u] = weight{other[u].mean, other[u].variance + weightDrift}
+				adopted = true
+			}
+		}
+		if adopted {
+			m.pairs[p] = &own
+			n++
+		}
+	}
+	return n
+}
--- a/internal/dispatch/backfill.go
+++ b/internal/dispatch/backfill.go
@@ -28,7 +28,7 @@
 		if !canPlace(t, q, sl) || sl.host.ID == t.avoidWorker {
 			continue
 		}
-		margin := 2 + p.maxBackfillShare(t.step.Image, sl)/cpuShare(t, sl.host) - p.s.interference.maxAddedUtilisation(t, sl.host)
+		margin := 2 + p.maxBackfillShare(t, sl)/cpuShare(t, sl.host) - p.s.maxAddedUtilisation(t, sl.host)
 		if found == nil || margin > maxMargin {
 			found, maxMargin = sl, margin
 		}
@@ -36,7 +36,7 @@
 	if found == nil {
 		return
 	}
-	limit := int(100 * p.maxBackfillShare(t.step.Image, found) / cpuShare(t, found.host))
+	limit := int(100 * p.maxBackfillShare(t, found) / cpuShare(t, found.host))
 	found.reserve(t)
 	found.host.place(t, p.now)
 	t.startCPULimit = min(100, max(minCPULimit, limit))
@@ -59,10 +59,10 @@
 	if p.s.cfg.Features.Order && sl.host.recentlyRelieved(p.now) {
 		return false
 	}
-	if p.lowInterferenceOnly && p.s.interference.maxAddedUtilisation(t, sl.host) > lowInterference {
+	if p.lowInterferenceOnly && p.s.maxAddedUtilisation(t, sl.host) > lowInterference {
 		return false
 	}
-	return cpuShare(t, sl.host) <= p.maxBackfillShare(t.step.Image, sl)
+	return cpuShare(t, sl.host) <= p.maxBackfillShare(t, sl)
 }
 
 // lowInterference is the most utilisation that a run may add to a service in the first,
@@ -70,19 +70,35 @@
 // choice of hosts.
 const lowInterference = 0.12
 
-// maxBackfillShare returns the fraction of sl's CPU that one more run of a backfill image
-// may use.
-func (p *planPass) maxBackfillShare(image string, sl *slot) float64 {
+// backfillKey names what backfill runs have in common that a host has the same capacity for.
+type backfillKey struct {
+	image   string
+	seconds int // that they last
+}
+
+func (p *planPass) backfillKey(t *task) backfillKey {
+	left := float64(p.s.expectedDuration(t)) * (1 - t.saved())
+	return backfillKey{t.step.Image, 1 + int(left/float64(time.Second))}
+}
+
+// maxBackfillShare returns the fraction of sl's CPU that one more backfill run like that of t may use.
+func (p *planPass) maxBackfillShare(t *task, sl *slot) float64 {
+	return p.maxShare(p.backfillKey(t), sl)
+}
+
+func (p *planPass) maxShare(k backfillKey, sl *slot) float64 {
 	if sl.services == 0 {
 		return 1
 	}
-	maxShare, ok := sl.maxBackfillShare[image]
+	maxShare, ok := sl.maxBackfillShare[k]
 	if !ok {
-		if sl.serviceHeadrooms == nil {
-			sl.serviceHeadrooms = p.s.interference.headrooms(sl.host, p.now)
+		headrooms, ok := sl.headrooms[k.seconds]
+		if !ok {
+			headrooms = p.s.headrooms(sl.host, p.now, k.seconds)
+			sl.headrooms[k.seconds] = headrooms
 		}
-		maxShare = p.s.interference.maxShareFor(image, sl.serviceHeadrooms)
-		sl.maxBackfillShare[image] = maxShare
+		maxShare = p.s.maxShareFor(k.image, headrooms)
+		sl.maxBackfillShare[k] = maxShare
 	}
 	return maxShare
 }
@@ -91,16 +107,17 @@
 // services t disturbs little.
 func (p *planPass) backfillCost(t *task, sl *slot) float64 {
 	usableBy := 0
+	seconds := p.backfillKey(t).seconds
 	for _, image := range p.backfillImages {
-		if p.maxBackfillShare(image, sl) > 0 {
+		if p.maxShare(backfillKey{image, seconds}, sl) > 0 {
 			usableBy++
 		}
 	}
 	cost := contentionCost * float64(usableBy) / float64(max(1, len(p.backfillImages)))
 	if p.s.cfg.Features.Order && sl.services > 0 {
-		cost += headroomCost * min(1, cpuShare(t, sl.host)/max(minAdded, p.maxBackfillShare(t.step.Image, sl)))
+		cost += headroomCost * min(1, cpuShare(t, sl.host)/max(minAdded, p.maxBackfillShare(t, sl)))
 	}
-	return cost + interferenceCost*p.s.interference.maxAddedUtilisation(t, sl.host)
+	return cost + interferenceCost*p.s.maxAddedUtilisation(t, sl.host)
 }
 
 // headroomCost is the cost of a host whose services t would leave no headroom. The less headroom
--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -186,11 +186,14 @@
 	}
 }
 
+// typicalSeconds is how long a backfill run typically lasts, rounded up.
+const typicalSeconds = 2
+
 // computeBackfillCapacity sums, for each backfill image, the CPU that each host could give
 // to it.
 func (s *Shard) computeBackfillCapacity(now time.Duration) []ImageCapacity {
 	capacities := []ImageCapacity{{}}
-	for _, image := range s.interference.backfillImages() {
+	for _, image := range s.colocation.BackfillImages() {
 		if len(capacities) < maxBackfillImages {
 			capacities = append(capacities, ImageCapacity{Image: image})
 		}
@@ -200,9 +203,9 @@
 		if !h.acceptsRuns(now) || idle <= 0 || s.zones.closed[h.Zone] {
 			continue
 		}
-		imageHeadrooms := s.interference.headrooms(h, now)
+		imageHeadrooms := s.headrooms(h, now, typicalSeconds)
 		for i := range capacities {
-			maxShare := s.interference.maxShareFor(capacities[i].Image, imageHeadrooms)
+			maxShare := s.maxShareFor(capacities[i].Image, imageHeadrooms)
 			capacities[i].MilliCPU += min(idle, int64(max(0, maxShare)*float64(h.Capacity.MilliCPU)))
 		}
 	}
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -150,9 +150,9 @@
 	}
 	b.put(TableHeartbeat, KeyHeartbeat, b.heartbeat)
 	s.recordPublishedExpiries(b.heartbeat.LeaseExpiries)
-	if now := s.now(); len(s.interference.baselineTail) > 0 && now-s.estimatesStoredAt > estimatesStoreInterval {
+	if now := s.now(); s.colocation.Known() && now-s.estimatesStoredAt > estimatesStoreInterval {
 		s.estimatesStoredAt = now
-		b.put(TableInterference, KeyInterference, s.interference.estimates())
+		b.put(TableInterference, KeyInterference, s.colocation.Estimates())
 	}
 	size, limit, full := 0, s.cfg.StoreLink.batchBytes(), false
 	for _, j := range s.jobs {
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -42,7 +42,8 @@
 	origin := make(map[*slot]*slot, len(p.slots))
 	for i, sl := range p.slots {
 		dup := *sl
-		dup.maxBackfillShare = map[string]float64{}
+		dup.maxBackfillShare = map[backfillKey]float64{}
+		dup.headrooms = map[int][]imageHeadroom{}
 		dup.outlook = sl.outlook.clone()
 		trial[i], origin[&dup] = &dup, sl
 	}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -42,7 +42,7 @@
 	quarantinedUntil time.Duration        // quarantined until then
 	coldUntil        time.Duration        // slow after its start until then
 	quarantineCount  int                  // quarantines since the last success
-	backfillSeenAt   time.Duration        // when a backfill run was last seen here
+	ended            []endedRun           // backfill runs that ended here lately
 	relievedAt       time.Duration        // when backfill runs were last throttled, stopped or sped up for its services
 }
 
@@ -209,7 +209,7 @@
 	t.Worker, t.Incarnation = h.ID, h.Incarnation
 	t.stage, t.stageSince = stagePlanned, now
 	t.stopWanted, t.stopSentAt, t.stopAckedAt = false, 0, 0
-	t.percent, t.progressedAt, t.gauge, t.cpuLimit, t.overTargetSince, t.baseLoadAt = 0, now, 0, 0, 0, 0
+	t.percent, t.progressedAt, t.gauge, t.cpuLimit, t.overTargetSince, t.loadError = 0, now, 0, 0, 0, 0
 	t.startCPULimit, t.startTimedOut, t.settled = 0, false, false
 	t.lendTo, t.drainKept = "", false
 	h.tasks[t.name] = t
--- a/internal/dispatch/interference_estimates.go
+++ b/internal/dispatch/interference_estimates.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
+	"skylarkport/internal/colocation"
 	"skylarkport/internal/pause"
 )
 
@@ -12,76 +12,11 @@
 // that is due anyway. A successor starts from the stored ones.
 const estimatesStoreInterval = 4 * time.Second
 
-// InterferenceEstimates are the interference estimates of a shard, as they are stored
-// and sent to other shards.
-type InterferenceEstimates struct {
-	BaselineTails map[string]float64 `json:"quiet"` // lowest tail latency of each service image, milliseconds
-	Pairs         []PairEstimate     `json:"pairs"`
-}
-
-// PairEstimate is the estimated weight of a backfill image next to a service image: the
-// utilisation that it adds to the service per share of the host's CPU that it uses.
-type PairEstimate struct {
-	BackfillImage string  `json:"f"`
-	ServiceImage  string  `json:"s"`
-	Mean          float64 `json:"m"`
-	Variance      float64 `json:"v"`
-}
-
-// estimates returns all estimates.
-func (m *interferenceModel) estimates() InterferenceEstimates {
-	e := InterferenceEstimates{BaselineTails: make(map[string]float64, len(m.baselineTail)), Pairs: make([]PairEstimate, 0, len(m.pairs))}
-	for image, q := range m.baselineTail {
-		e.BaselineTails[image] = q
-	}
-	for p, w := range m.pairs {
-		e.Pairs = append(e.Pairs, PairEstimate{p.backfill, p.service, round(w.mean), round(w.variance)})
-	}
-	return e
-}
-
-// round rounds v to three decimals. Estimated weights are less precise than that.
-func round(v float64) float64 { return math.Round(v*1000) / 1000 }
-
-// restore loads the estimates that an earlier owner stored.
-func (m *interferenceModel) restore(e InterferenceEstimates) {
-	for image, q := range e.BaselineTails {
-		m.baselineTail[image] = q
-	}
-	for _, p := range e.Pairs {
-		m.pairs[imagePair{p.BackfillImage, p.ServiceImage}] = pairWeight{p.Mean, p.Variance}
-	}
-}
-
-// mergeVarianceRatio is the most that the variance of another shard's estimate may be, as a
-// fraction of the own one, for the estimate to be merged. As merging raises the variance,
-// the shard that an estimate came from does not merge it back.
-const mergeVarianceRatio = 0.7
-
-// merge replaces each estimate of this shard by that of another shard if the variance of the
-// latter is much lower, and adopts lower baseline tails. Tasks of an image behave alike on
-// every shard. It returns the number of replaced or added pairs.
-func (m *interferenceModel) merge(e InterferenceEstimates) int {
-	for image, q := range e.BaselineTails {
-		m.observeBaseline(image, q)
-	}
-	n := 0
-	for _, p := range e.Pairs {
-		pair := imagePair{p.BackfillImage, p.ServiceImage}
-		if p.Variance >= mergeVarianceRatio*m.pairWeight(pair).variance {
-			continue
-		}
-		m.pairs[pair] = pairWeight{p.Mean, p.Variance + weightDrift}
-		n++
-	}
-	return n
-}
-
 // InterferenceEstimates returns the interference estimates of the shard.
-func (s *Shard) InterferenceEstimates() InterferenceEstimates {
+func (s *Shard) InterferenceEstimates() colocation.Estimates {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.interference.estimates()
+	return s.colocation.Estimates()
 }
 
 const (
@@ -104,7 +39,7 @@
 			continue
 		}
 		s.mu.Lock()
-		n := s.interference.merge(e)
+		n := s.colocation.Merge(e)
 		s.mu.Unlock()
 		logger.WithField("shard", s.cfg.Name).WithField("pairs", len(e.Pairs)).WithField("adopted", n).Debug("interference estimates merged")
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -75,8 +75,8 @@
 	ticket          string        // the adviser's approval of the worker
 	uninterrupted   bool          // the run started without a checkpoint and was not throttled
 	overTargetSince time.Duration // since when the tail latency exceeds its target, 0 if it does not
-	baseLoad        float64       // utilisation of a service without backfill runs, measured or estimated
-	baseLoadAt      time.Duration // when baseLoad was last measured with no backfill run on the host, 0 for never
+	baseLoad        float64       // expected utilisation of a service without backfill runs
+	loadError       float64       // by how much its utilisation was last above the expected one
 	throttledAt     time.Duration // when the CPU limit was last changed
 	startCPULimit   int           // CPU limit to apply after the start, in percent; 0 for none
 	avoidWorker     string        // worker on which the last run failed
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"skylarkport/internal/colocation"
 	"skylarkport/internal/contract/fleet"
 	"skylarkport/internal/pause"
 	"skylarkport/internal/result"
@@ -43,11 +44,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(estimates) > 0 {
-		var e InterferenceEstimates
+		var e colocation.Estimates
 		if err := workload.Decode(estimates[0].Value, &e); err != nil {
 			s.logUnreadable(estimates[0], err)
 		} else {
-			s.interference.restore(e)
+			s.colocation.Restore(e)
 		}
 	}
 	if len(heartbeats) > 0 {
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"skylarkport/internal/colocation"
 	"skylarkport/internal/pause"
 	"skylarkport/internal/workload"
 )
@@ -28,7 +29,7 @@
 	Cancel(ctx context.Context, shard, id string) error
 	// InterferenceEstimates returns the interference estimates of one of the other
 	// shards; successive calls go through all of them.
-	InterferenceEstimates(ctx context.Context) (InterferenceEstimates, error)
+	InterferenceEstimates(ctx context.Context) (colocation.Estimates, error)
 	// HasJob reports whether the shard still has the job.
 	HasJob(ctx context.Context, shard, id string) (bool, error)
 	// Borrower names a shard that probably has a worker for the task of the loan, or returns
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -20,11 +20,10 @@
 	suspects  int             // runs that have not outlived their start and whose last worker was lost in theirs
 	crashed   int             // runs whose earlier workers crashed
 	probation *job            // job of one that must be the only start, nil for none
-	// maxBackfillShare caches, by image, the fraction of the host's CPU that one more run
-	// of a backfill image may use.
-	maxBackfillShare map[string]float64
-	serviceHeadrooms []imageHeadroom // computed on demand
-	outlook          *outlook        // nil without reservations
+	// maxBackfillShare caches the fraction of the host's CPU that one more backfill run may use.
+	maxBackfillShare map[backfillKey]float64
+	headrooms        map[int][]imageHeadroom // of the services, by seconds from now; computed on demand
+	outlook          *outlook                // nil without reservations
 }
 
 // slots returns the hosts that accept new runs, ordered by id.
@@ -40,7 +39,7 @@
 			}
 			continue
 		}
-		sl := &slot{host: h, free: h.free(), idleCPU: h.Capacity.MilliCPU - h.usedCPU(), maxBackfillShare: map[string]float64{}}
+		sl := &slot{host: h, free: h.free(), idleCPU: h.Capacity.MilliCPU - h.usedCPU(), maxBackfillShare: map[backfillKey]float64{}, headrooms: map[int][]imageHeadroom{}}
 		for _, t := range h.tasks {
 			if t.isService() {
 				sl.services++
@@ -364,6 +363,6 @@
 	sl.countSuspect(t)
 	if t.isService() || t.step.Backfill {
 		clear(sl.maxBackfillShare)
-		sl.serviceHeadrooms = nil
+		clear(sl.headrooms)
 	}
 }
--- a/internal/dispatch/relief.go
+++ b/internal/dispatch/relief.go
@@ -12,7 +12,7 @@
 func (s *Shard) sortForRelief(backfills []*task, t *task, h *host) {
 	costs := make(map[*task]float64, len(backfills))
 	for _, b := range backfills {
-		costs[b] = min(mostUrgent, max(leastUrgent, s.urgency(b))) / max(minAdded, s.interference.addedUtilisation(b, t, h))
+		costs[b] = min(mostUrgent, max(leastUrgent, s.urgency(b))) / max(minAdded, s.addedUtilisation(b, t, h))
 	}
 	slices.SortStableFunc(backfills, func(a, b *task) int { return cmp.Compare(costs[a], costs[b]) })
 }
--- a/internal/dispatch/renewal.go
+++ b/internal/dispatch/renewal.go
@@ -322,6 +322,7 @@
 // from since.
 func (s *Shard) returnToPending(t *task, since time.Duration) {
 	if h := s.hosts[t.Worker]; h != nil {
+		h.rememberEnd(t, s.now())
 		delete(h.tasks, t.name)
 	}
 	t.Phase, t.stage = workload.Pending, stageNone
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -170,7 +170,7 @@
 func (s *Shard) backfillCPU(h *host, image string, now time.Duration) int64 {
 	for _, t := range h.tasks {
 		if t.isService() {
-			share := s.interference.maxShareFor(image, s.interference.headrooms(h, now))
+			share := s.maxShareFor(image, s.headrooms(h, now, typicalSeconds))
 			return int64(max(0, share) * float64(h.Capacity.MilliCPU))
 		}
 	}
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"skylarkport/internal/colocation"
 	"skylarkport/internal/contract/fleet"
 	"skylarkport/internal/obs"
 	"skylarkport/internal/pause"
@@ -118,7 +119,7 @@
 	loadedAt             time.Duration // when loaded was closed
 	loadTook             time.Duration // how long the rows took to load
 	loadedByHandoff      bool          // they were prefetched and completed by a handoff
-	interference         interferenceModel
+	colocation           *colocation.Model
 	durationModel        durationModel
 	meanWork             meanWork
 	sizeWeight           time.Duration      // the constant of that name; tests of the order of jobs change it
@@ -151,7 +152,7 @@
 		cfg: cfg, jobs: map[string]*job{}, hosts: map[string]*host{},
 		inboxToDelete: map[string]bool{}, publishedExpiries: map[string]bool{}, droppedJobs: map[string]bool{}, deletedJobs: map[string]deletion{}, borrowed: map[string]*job{},
 		wake: make(chan struct{}, 1), loaded: make(chan struct{}), cycleDone: make(chan struct{}),
-		interference: newInterferenceModel(), durationModel: newDurationModel(), meanWork: meanWork{}, sizeWeight: sizeWeight, approvals: map[string]*approval{},
+		colocation: colocation.NewModel(), durationModel: newDurationModel(), meanWork: meanWork{}, sizeWeight: sizeWeight, approvals: map[string]*approval{},
 		presumedCrashes: map[string]*presumedCrash{}, unreadable: map[string]bool{}, zones: zoneView{bound: cfg.Zones.Bound}, shares: queueorder.NewShares(),
 		explainLimit: newExplainLimit(), lookahead: lookahead{reservations: map[string]*reservation{}}, admission: newAdmission(),
 	}
--- a/internal/dispatch/tail_latency.go
+++ b/internal/dispatch/tail_latency.go
@@ -20,72 +20,34 @@
 	unthrottleHeadroom = 0.1
 )
 
-// controlTailLatencies updates the interference model with the tail latencies reported for
-// the services on h, and throttles or stops backfill runs there if a service exceeds its
-// target.
+// controlTailLatencies updates the colocation model with what h reported of its services and
+// backfill runs, and throttles or stops backfill runs there if a service exceeds its target.
 func (s *Shard) controlTailLatencies(h *host, now time.Duration) {
 	var services, backfills []*task
-	settling := false
 	for _, t := range h.tasks {
 		switch {
 		case t.isService() && t.stage == stageRunning && t.percent == startedPercent && t.gauge > 0:
 			services = append(services, t)
-			s.interference.observeBaseline(t.step.Image, t.gauge)
 		case t.step.Backfill:
 			backfills = append(backfills, t)
-			settling = settling || t.stage != stageRunning || now-t.stageSince < settleTime || now-t.throttledAt < settleTime
+			s.colocation.ObserveUse(t.step.Image, t.run(h).Use)
 		}
 	}
+	runs := h.reportedRuns(now)
 	for _, t := range services {
-		s.observeTailLatency(h, t, backfills, settling, now)
+		t.loadError = s.colocation.Observe(t.service(), runs, now)
+		t.baseLoad = s.colocation.Load(t.service().Step, now)
 	}
+	s.colocation.Maintain(now)
 	s.relieveServices(h, services, backfills, now)
 }
 
 // startedPercent is the progress that a long-running task reports once it has started up.
 const startedPercent = 100
 
-// observeTailLatency processes one reading of the tail latency of t. It updates the
-// interference weights only if the own load of t is known from recent readings without
-// backfill runs, and if every start and throttling of a backfill run on h is old enough to
-// show in this reading.
-func (s *Shard) observeTailLatency(h *host, t *task, backfills []*task, settling bool, now time.Duration) {
-	u := s.interference.utilisation(t.step.Image, t.gauge)
-	if len(backfills) == 0 {
-		if now-h.backfillSeenAt > settleTime {
-			t.baseLoad, t.baseLoadAt = u, now
-		}
-		return
-	}
-	h.backfillSeenAt = now
-	if baseLoad, ok := s.meanBaseLoad(t, now); ok {
-		t.baseLoad = baseLoad
-		if !settling {
-			s.interference.updateWeights(t.step.Image, u-baseLoad, backfills, h)
-		}
-		return
-	}
-	for _, backfill := range backfills {
-		u -= s.interference.addedUtilisation(backfill, t, h)
-	}
-	t.baseLoad = max(0, u)
-}
-
-// meanBaseLoad is the own load of a service, without the backfill runs on its host: the
-// mean of recent readings of the tasks of its step, each taken without backfill runs on the
-// host. It returns false if there is none.
-func (s *Shard) meanBaseLoad(t *task, now time.Duration) (float64, bool) {
-	sum, n := 0.0, 0
-	for _, o := range t.job.stepTasks(t.id.Occurrence, t.id.Step) {
-		if o.baseLoadAt > 0 && now-o.baseLoadAt < baseLoadMaxAge {
-			sum, n = sum+o.baseLoad, n+1
-		}
-	}
-	if n == 0 {
-		return 0, false
-	}
-	return sum / float64(n), true
-}
+// settleTime is how long it takes until the start or throttling of a run shows in a
+// tail latency.
+const settleTime = 700 * time.Millisecond
 
 // relieveServices throttles or stops the backfill runs that disturb a service over its
 // target most, and speeds throttled runs up again when every service has headroom.
@@ -95,8 +57,8 @@
 	}
 	hasHeadroom := true
 	for _, t := range services {
-		targetUtilisation := s.interference.targetUtilisation(t.step.Image, float64(t.step.TargetMillis))
-		u := s.interference.utilisation(t.step.Image, t.gauge)
+		targetUtilisation := s.colocation.TargetUtilisation(t.service())
+		u := s.colocation.Utilisation(t.step.Image, t.gauge)
 		hasHeadroom = hasHeadroom && targetUtilisation-u > unthrottleHeadroom
 		if t.gauge <= float64(t.step.TargetMillis) {
 			t.overTargetSince = 0
@@ -121,7 +83,7 @@
 func (s *Shard) relieveService(h *host, t *task, backfills []*task, excess float64, now time.Duration) {
 	byImpact := slices.Clone(backfills)
 	slices.SortFunc(byImpact, func(a, b *task) int {
-		return cmp.Compare(s.interference.addedUtilisation(b, t, h), s.interference.addedUtilisation(a, t, h))
+		return cmp.Compare(s.addedUtilisation(b, t, h), s.addedUtilisation(a, t, h))
 	})
 	if s.cfg.Features.Order {
 		s.sortForRelief(byImpact, t, h)
@@ -132,10 +94,10 @@
 			return
 		}
 		if backfill.stopWanted || s.cfg.Features.Order && !all && s.endsWithin(backfill, reliefWait, now) {
-			excess -= s.interference.addedUtilisation(backfill, t, h)
+			excess -= s.addedUtilisation(backfill, t, h)
 			continue
 		}
-		excess -= s.interference.addedUtilisation(backfill, t, h)
+		excess -= s.addedUtilisation(backfill, t, h)
 		if backfill.startCPULimit > 0 && backfill.cpuLimit > minCPULimit {
 			s.setCPULimit(backfill, h, max(minCPULimit, backfill.cpuLimit/3), now) // not stopped: it is the only run of its job
 			continue
--- a/internal/node/balance.go
+++ b/internal/node/balance.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"skylarkport/internal/colocation"
 	"skylarkport/internal/dispatch"
 	"skylarkport/internal/result"
 	"skylarkport/internal/workload"
@@ -163,7 +164,7 @@
 }
 
 // InterferenceEstimates implements dispatch.OtherShards.
-func (o *otherShards) InterferenceEstimates(ctx context.Context) (dispatch.InterferenceEstimates, error) {
+func (o *otherShards) InterferenceEstimates(ctx context.Context) (colocation.Estimates, error) {
 	shards := o.node.layout.Load().Shards()
 	o.nextShard++
 	shard := shards[o.nextShard%len(shards)]
@@ -173,13 +174,13 @@
 	}
 	if o.node.owners.localShard(shard) != nil {
 		reply := o.node.owners.interferenceEstimates(shard)
-		return reply.InterferenceEstimates, reply.err()
+		return reply.Estimates, reply.err()
 	}
 	var reply EstimatesReply
 	if err := o.node.callOwner(ctx, shard, methodEstimates, EstimatesRequest{Shard: shard}, &reply); err != nil {
-		return dispatch.InterferenceEstimates{}, err
+		return colocation.Estimates{}, err
 	}
-	return reply.InterferenceEstimates, reply.err()
+	return reply.Estimates, reply.err()
 }
 
 // interferenceEstimates returns the estimates of a shard that this instance owns.
@@ -188,7 +189,7 @@
 	if s == nil {
 		return EstimatesReply{Outcome: outcomeOf(result.Errorf(result.NotOwner, "shard %s", shard))}
 	}
-	return EstimatesReply{Outcome: outcomeOf(nil), InterferenceEstimates: s.InterferenceEstimates()}
+	return EstimatesReply{Outcome: outcomeOf(nil), Estimates: s.InterferenceEstimates()}
 }
 
 // HasJob implements dispatch.OtherShards.
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"skylarkport/internal/colocation"
 	"skylarkport/internal/dispatch"
 	"skylarkport/internal/result"
 	"skylarkport/internal/workload"
@@ -137,7 +138,7 @@
 // EstimatesReply carries a shard's interference estimates.
 type EstimatesReply struct {
 	Outcome
-	InterferenceEstimates dispatch.InterferenceEstimates `json:"lessons,omitzero"`
+	colocation.Estimates `json:"lessons,omitzero"`
 }
 
 // ClaimRequest asks an instance to take over a shard from its drained owner.
