--- a/internal/colocation/model.go
+++ b/internal/colocation/model.go
@@ -134,7 +134,7 @@
 }
 
 // Observe takes in one reading of the tail latency of s, beside runs. It returns by how much the
-// utilisation deviates from the expected one.
+// utilisation still deviates from the expected one.
 func (m *Model) Observe(s Service, runs []Run, now time.Duration) float64 {
 	m.observeBaseline(s.Image, s.Tail)
 	at := now - reportWindow/2
@@ -169,7 +169,7 @@
 	if known && c.n > 0 {
 		m.updateWeights(s.Image, deviation, variance, runs)
 	}
-	return max(-maxError, min(maxError, deviation))
+	return max(-maxError, min(maxError, u-added-m.Load(s.Step, at)))
 }
 
 // updateWeights corrects the weights of the pairs of a service by the deviation of a reading, in
--- a/internal/dispatch/tail_latency.go
+++ b/internal/dispatch/tail_latency.go
@@ -67,7 +67,9 @@
 		if t.overTargetSince == 0 {
 			t.overTargetSince = now
 		}
-		s.relieveService(h, t, backfills, u-targetUtilisation+reliefMargin, now)
+		if excess := s.presentUtilisation(t, h, now) - targetUtilisation; excess > 0 || now-t.overTargetSince > s.cfg.Bounds.MaxOverTarget/3 {
+			s.relieveService(h, t, backfills, excess+reliefMargin, now)
+		}
 	}
 	for _, backfill := range backfills {
 		if hasHeadroom && backfill.cpuLimit > 0 && backfill.cpuLimit < 100 && !backfill.stopWanted && now-backfill.throttledAt > settleTime {
@@ -76,6 +78,13 @@
 	}
 }
 
+// presentUtilisation is the utilisation that the service t on h is expected to have with the runs that
+// are there now. The last reading may show runs that have ended since, and not yet those that began.
+func (s *Shard) presentUtilisation(t *task, h *host, now time.Duration) float64 {
+	sv := t.service()
+	return s.colocation.Load(sv.Step, now) + t.loadError + s.colocation.AddedBy(h.backfillRuns(), sv.Image)
+}
+
 // relieveService stops or throttles the backfill runs on h, those that disturb t most first,
 // until together they account for excess of the utilisation of t. If t has exceeded its
 // target for more than a third of the allowed time, all backfill runs are stopped or
@@ -93,7 +102,10 @@
 		if excess <= 0 && !all {
 			return
 		}
-		if backfill.stopWanted || s.cfg.Features.Order && !all && s.endsWithin(backfill, reliefWait, now) {
+		if backfill.stopWanted {
+			continue
+		}
+		if s.cfg.Features.Order && !all && s.endsWithin(backfill, reliefWait, now) {
 			excess -= s.addedUtilisation(backfill, t, h)
 			continue
 		}
