--- a/internal/colocation/model.go
+++ b/internal/colocation/model.go
@@ -11,8 +11,8 @@
 	baselineShare = 0.75
 	// readingVariance is the variance of the utilisation that one latency reading gives.
 	readingVariance = 0.01
-	// reportWindow is the time that a reported tail latency covers, up to the report.
-	reportWindow = 500 * time.Millisecond
+	// ReportWindow is the time that a reported tail latency covers, up to the report.
+	ReportWindow = 500 * time.Millisecond
 	// maxUtilisation bounds utilisations: the model is inaccurate for latencies far above a
 	// target.
 	maxUtilisation = 0.985
@@ -46,13 +46,13 @@
 	Image string
 	Share float64 // of the worker's CPU, at the run's CPU limit
 	Use   Use
-	Shown float64 // fraction of the reportWindow in which it ran
+	Shown float64 // fraction of the ReportWindow in which it ran
 }
 
 // Shown returns the fraction of the time that a report at now covers in which a run lasted.
 func Shown(from, until, now time.Duration) float64 {
-	d := min(until, now) - max(from, now-reportWindow)
-	return max(0, min(1, float64(d)/float64(reportWindow)))
+	d := min(until, now) - max(from, now-ReportWindow)
+	return max(0, min(1, float64(d)/float64(ReportWindow)))
 }
 
 // Model holds the estimates. Its zero value is not usable; see NewModel.
@@ -137,7 +137,7 @@
 // utilisation still deviates from the expected one.
 func (m *Model) Observe(s Service, runs []Run, now time.Duration) float64 {
 	m.observeBaseline(s.Image, s.Tail)
-	at := now - reportWindow/2
+	at := now - ReportWindow/2
 	m.phases.set(at)
 	u := m.Utilisation(s.Image, s.Tail)
 	added, variance, known := 0.0, readingVariance, true
--- a/internal/colocation/model_test.go
+++ b/internal/colocation/model_test.go
@@ -24,7 +24,7 @@
 
 // tail returns the tail latency that is reported at a time, with added utilisation.
 func (p *plant) tail(at time.Duration, added float64) float64 {
-	u := p.load(at-reportWindow/2) + added + p.noise*p.rng.NormFloat64()
+	u := p.load(at-ReportWindow/2) + added + p.noise*p.rng.NormFloat64()
 	return baseline / (1 - min(0.97, max(0, u)))
 }
 
@@ -163,3 +163,20 @@
 		t.Errorf("period %d, use %v, baseline %v", successor.period, successor.fullShares["f"], successor.baselines["s"])
 	}
 }
+
+// BenchmarkObserve takes in one reading beside five runs.
+func BenchmarkObserve(b *testing.B) {
+	m := NewModel()
+	knowBaseline(m, "s")
+	p := newPlant(1, 10*time.Second, 0.05)
+	runs := make([]Run, 5)
+	for i := range runs {
+		runs[i] = Run{Image: string(rune('a' + i)), Share: 0.1, Shown: 1, Use: UseFull}
+	}
+	now := time.Hour
+	for b.Loop() {
+		now += 10 * time.Millisecond
+		m.Observe(Service{Image: "s", Target: 18, Tail: p.tail(now, 0.2)}, runs, now)
+		m.Maintain(now)
+	}
+}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -209,7 +209,7 @@
 	t.Worker, t.Incarnation = h.ID, h.Incarnation
 	t.stage, t.stageSince = stagePlanned, now
 	t.stopWanted, t.stopSentAt, t.stopAckedAt = false, 0, 0
-	t.percent, t.progressedAt, t.gauge, t.cpuLimit, t.overTargetSince, t.loadError = 0, now, 0, 0, 0, 0
+	t.percent, t.progressedAt, t.gauge, t.cpuLimit, t.overTargetSince, t.loadError, t.observed = 0, now, 0, 0, 0, 0, 0
 	t.startCPULimit, t.startTimedOut, t.settled = 0, false, false
 	t.lendTo, t.drainKept = "", false
 	h.tasks[t.name] = t
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -76,6 +76,8 @@
 	uninterrupted   bool          // the run started without a checkpoint and was not throttled
 	overTargetSince time.Duration // since when the tail latency exceeds its target, 0 if it does not
 	baseLoad        float64       // expected utilisation of a service without backfill runs
+	observed        float64       // the tail latency that the colocation model observed last, at observedAt
+	observedAt      time.Duration
 	loadError       float64       // by how much its utilisation was last above the expected one
 	throttledAt     time.Duration // when the CPU limit was last changed
 	startCPULimit   int           // CPU limit to apply after the start, in percent; 0 for none
--- a/internal/dispatch/tail_latency.go
+++ b/internal/dispatch/tail_latency.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"skylarkport/internal/colocation"
 	"skylarkport/internal/contract/fleet"
 )
 
@@ -35,6 +36,10 @@
 	}
 	runs := h.reportedRuns(now)
 	for _, t := range services {
+		if t.gauge == t.observed && now-t.observedAt < colocation.ReportWindow/2 {
+			continue // the worker has not measured it again
+		}
+		t.observed, t.observedAt = t.gauge, now
 		t.loadError = s.colocation.Observe(t.service(), runs, now)
 		t.baseLoad = s.colocation.Load(t.service().Step, now)
 	}
