--- a/internal/colocation/model.go
+++ b/internal/colocation/model.go
@@ -1,6 +1,7 @@
 package colocation
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -20,6 +21,8 @@
 	// to last, and maxError bounds the deviation.
 	errorShare = 0.5
 	maxError   = 0.25
+	// errorWindow is the number of readings over which the error of prediction is smoothed.
+	errorWindow = 200
 	// periodMargin is the evidence by which another period must be better to replace the present one.
 	periodMargin = 3.0
 	// periodInterval is the time between two choices of the period.
@@ -64,6 +67,7 @@
 	period     int // candidate
 	periodAt   time.Duration
 	phases     phases
+	meanSquare float64 // of the deviations of readings from what was predicted, smoothed
 }
 
 // NewModel returns a model without observations.
@@ -163,6 +167,7 @@
 		m.curves[s.Step] = c
 	}
 	deviation := u - added - expected
+	m.meanSquare += (deviation*deviation - m.meanSquare) / errorWindow
 	if u < maxUtilisation {
 		c.observe(&m.phases, u-added, variance)
 	}
@@ -224,6 +229,15 @@
 	return m.Utilisation(s.Image, s.Target)
 }
 
+// PredictionError is the root mean square of the deviations of the last readings' utilisation from what was
+// predicted.
+func (m *Model) PredictionError() float64 { return math.Sqrt(m.meanSquare) }
+
+// Period is the period of the loads of services.
+func (m *Model) Period() time.Duration {
+	return time.Duration(periodOf(m.period) * float64(time.Second))
+}
+
 // Maintain chooses the period anew and forgets the curves of services that are gone.
 func (m *Model) Maintain(now time.Duration) {
 	if now-m.periodAt < periodInterval {
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -196,6 +196,14 @@
 	scope.Gauge("long_running_longest_wait_seconds").Update(longest.Seconds())
 }
 
+// LoadPredicted records how well the tail latencies of a shard's services are predicted, and the period of their
+// loads.
+func (m *Metrics) LoadPredicted(shard string, rms float64, period time.Duration) {
+	scope := m.scope.Tagged(map[string]string{"shard": shard})
+	scope.Gauge("utilisation_prediction_error").Update(rms)
+	scope.Gauge("load_period_seconds").Update(period.Seconds())
+}
+
 // StartTurnedAway counts a placement that was undone because the worker's zone is out of use, or
 // may be.
 func (m *Metrics) StartTurnedAway() { m.startsTurnedAway.Inc(1) }
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -30,6 +30,7 @@
 	standings := s.countStandings(candidates)
 	waits := s.longRunningWaits(now)
 	s.cfg.Metrics.LongRunningWaiting(s.cfg.Name, waits.count, waits.longest)
+	s.cfg.Metrics.LoadPredicted(s.cfg.Name, s.colocation.PredictionError(), s.colocation.Period())
 	s.logZoneWait(waiting)
 	var idleWithoutServices, idleWithServices, capacity int64
 	runs, backfills, serviceHosts, images := 0, 0, 0, 0
@@ -72,5 +73,6 @@
 		WithField("capacity_mcpu", capacity).WithField("committed_mcpu", s.currentLoad(now).Committed).
 		WithField("long_running_mcpu", longRunning).WithField("preemptible_mcpu", batch).
 		WithField("max_free_mcpu", maxFree.MilliCPU).WithField("max_free_mb", maxFree.MemoryMB).
+		WithField("prediction_error", s.colocation.PredictionError()).WithField("load_period_ms", s.colocation.Period().Milliseconds()).
 		WithField("waiting_long_running", waits.count).WithField("longest_wait_ms", waits.longest.Milliseconds()).Info("shard load")
 }
