--- a/internal/dispatch/load_play_test.go
+++ b/internal/dispatch/load_play_test.go
@@ -178,6 +178,7 @@
 	thrownAway float64                  // core-seconds
 	start      time.Duration
 	returning  []returningCaller
+	report     func(at time.Duration) // what workers report at a time; nil for nothing
 }
 
 // acceptingWorkers accepts every command.
@@ -235,6 +236,9 @@
 		p.submitReturning(at)
 		p.sampleThroughput(p.now)
 		p.endRuns(at)
+		if p.report != nil {
+			p.report(at)
+		}
 		p.plan(p.now)
 		p.beginRuns(at)
 		p.mu.Unlock()
