--- a/internal/colocation/curve.go
+++ b/internal/colocation/curve.go
@@ -48,13 +48,13 @@
 // Curve is the own load of a service over time: a level and an oscillation. It is a Bayesian linear
 // regression for each candidate period; old observations lose their weight.
 type Curve struct {
-	updatedAt     time.Duration
-	n, y          float64 // sums of weights and of loads, which do not depend on the period
-	candidates    [periods]moments
-	solution      solution
-	solved        bool
-	solvedAtIndex int
-	peaks         [maxHorizon]cachedPeak // by horizon in seconds, less one
+	updatedAt  time.Duration
+	n, y       float64 // sums of weights and of loads, which do not depend on the period
+	candidates [periods]moments
+	solution   solution
+	solved     bool
+	solvedFor  int
+	peaks      [maxHorizon]cachedPeak // by horizon in seconds, less one
 }
 
 // solution is the fit for one period.
@@ -101,13 +101,19 @@
 	}
 }
 
+// fit returns the fit for the candidate period, solved at most once for each observation.
+func (c *Curve) fit(candidate int) solution {
+	if !c.solved || c.solvedFor != candidate {
+		c.solution, c.solved, c.solvedFor = c.solve(candidate), true, candidate
+	}
+	return c.solution
+}
+
 // at returns the expected load at a time for the candidate period.
 func (c *Curve) at(t time.Duration, candidate int) float64 {
-	if !c.solved || c.solvedAtIndex != candidate {
-		c.solution, c.solved, c.solvedAtIndex = c.solve(candidate), true, candidate
-	}
+	f := c.fit(candidate)
 	s, k := math.Sincos(2 * math.Pi * t.Seconds() / periodOf(candidate))
-	return c.solution.level + c.solution.sin*s + c.solution.cos*k
+	return f.level + f.sin*s + f.cos*k
 }
 
 const (
--- a/internal/colocation/estimates.go
+++ b/internal/colocation/estimates.go
@@ -1,6 +1,9 @@
 package colocation
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Estimates are the estimates of a shard, as they are stored and sent to other shards.
 type Estimates struct {
@@ -8,6 +11,19 @@
 	Pairs         []PairEstimate     `json:"pairs"`
 	FullShares    map[string]float64 `json:"full,omitempty"`   // share of readings with full use, by backfill image
 	PeriodMillis  int64              `json:"period,omitempty"` // of the loads of services
+	Curves        []CurveEstimate    `json:"curves,omitempty"` // only in what is stored
+	CurvesAt      int64              `json:"at,omitempty"`     // time to which their phases refer, milliseconds on the store's clock
+}
+
+// CurveEstimate is the own load of a step of a service. The load at a time t after Estimates.CurvesAt is
+// Level + Sin*sin(2πt/period) + Cos*cos(2πt/period).
+type CurveEstimate struct {
+	Job        string  `json:"j"`
+	Occurrence int     `json:"o,omitempty"`
+	Step       int     `json:"t,omitempty"`
+	Level      float64 `json:"l"`
+	Sin        float64 `json:"a"`
+	Cos        float64 `json:"b"`
 }
 
 // PairEstimate is the estimated weight of a backfill image next to a service image: the
@@ -35,7 +51,7 @@
 // Known reports whether there is anything to store.
 func (m *Model) Known() bool { return len(m.baselines) > 0 }
 
-// Estimates returns all estimates but the curves, which a successor learns within a period.
+// Estimates returns all estimates but the curves, which concern the services of one shard.
 func (m *Model) Estimates() Estimates {
 	e := Estimates{
 		BaselineTails: make(map[string]float64, len(m.baselines)), Pairs: make([]PairEstimate, 0, len(m.pairs)),
@@ -55,6 +71,52 @@
 	return e
 }
 
+// maxStoredCurves bounds the curves that are stored, which take about 70 bytes each.
+const maxStoredCurves = 256
+
+// EstimatesToStore returns all estimates at a time that is clock on the store's clock.
+func (m *Model) EstimatesToStore(now time.Duration, clock int64) Estimates {
+	e := m.Estimates()
+	e.CurvesAt = clock
+	sin, cos := math.Sincos(2 * math.Pi * now.Seconds() / periodOf(m.period))
+	for k, c := range m.curves {
+		if len(e.Curves) == maxStoredCurves {
+			break
+		}
+		f := c.fit(m.period)
+		e.Curves = append(e.Curves, CurveEstimate{
+			k.Job, k.Occurrence, k.Step, round(f.level), round(f.sin*cos - f.cos*sin), round(f.sin*sin + f.cos*cos),
+		})
+	}
+	return e
+}
+
+const (
+	// restoredPoints is the number of loads, over one period, that a restored curve counts as observed,
+	// and restoredVariance their variance. Observations soon outweigh them.
+	restoredPoints   = 12
+	restoredVariance = 0.02
+)
+
+// RestoreCurves loads the curves that an earlier owner stored, at a time that is clock on the store's clock.
+func (m *Model) RestoreCurves(e Estimates, now time.Duration, clock int64) {
+	m.setPeriod(e.PeriodMillis)
+	period := periodOf(m.period)
+	stored := now - time.Duration(clock-e.CurvesAt)*time.Millisecond
+	for i := range restoredPoints {
+		before := time.Duration(float64(restoredPoints-i) / restoredPoints * period * float64(time.Second))
+		m.phases.set(now - before)
+		sin, cos := math.Sincos(2 * math.Pi * (now - before - stored).Seconds() / period)
+		for _, ce := range e.Curves {
+			key := StepKey{ce.Job, ce.Occurrence, ce.Step}
+			if m.curves[key] == nil {
+				m.curves[key] = &Curve{}
+			}
+			m.curves[key].observe(&m.phases, min(1, max(0, ce.Level+ce.Sin*sin+ce.Cos*cos)), restoredVariance)
+		}
+	}
+}
+
 // round rounds v to three decimals. Estimated weights are less precise than that.
 func round(v float64) float64 { return math.Round(v*1000) / 1000 }
 
--- a/internal/colocation/model_test.go
+++ b/internal/colocation/model_test.go
@@ -164,6 +164,31 @@
 	}
 }
 
+// TestRestoredCurves: a successor whose clock differs predicts the loads as the earlier owner did, although
+// time has passed on the store's clock.
+func TestRestoredCurves(t *testing.T) {
+	m := NewModel()
+	knowBaseline(m, "s")
+	p := newPlant(3, 10*time.Second, 0.02)
+	now := time.Hour
+	for end := now + 30*time.Second; now < end; now += 500 * time.Millisecond {
+		m.Observe(Service{Step: StepKey{Job: "j"}, Image: "s", Target: 18, Tail: p.tail(now, 0)}, nil, now)
+		m.Maintain(now)
+	}
+	successor := NewModel()
+	e := m.EstimatesToStore(now, 5_000_000)
+	const away = 3700 * time.Millisecond
+	restoredAt := 17 * time.Minute
+	successor.Restore(e)
+	successor.RestoreCurves(e, restoredAt, 5_000_000+away.Milliseconds())
+	for ahead := time.Duration(0); ahead < 5*time.Second; ahead += 500 * time.Millisecond {
+		want := m.Load(StepKey{Job: "j"}, now+away+ahead)
+		if got := successor.Load(StepKey{Job: "j"}, restoredAt+ahead); math.Abs(got-want) > 0.06 {
+			t.Errorf("%v later: %.3f, want %.3f", ahead, got, want)
+		}
+	}
+}
+
 // BenchmarkObserve takes in one reading beside five runs.
 func BenchmarkObserve(b *testing.B) {
 	m := NewModel()
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -152,7 +152,7 @@
 	s.recordPublishedExpiries(b.heartbeat.LeaseExpiries)
 	if now := s.now(); s.colocation.Known() && now-s.estimatesStoredAt > estimatesStoreInterval {
 		s.estimatesStoredAt = now
-		b.put(TableInterference, KeyInterference, s.colocation.Estimates())
+		b.put(TableInterference, KeyInterference, s.colocation.EstimatesToStore(now, int64(s.storeNow())))
 	}
 	size, limit, full := 0, s.cfg.StoreLink.batchBytes(), false
 	for _, j := range s.jobs {
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -49,6 +49,7 @@
 			s.logUnreadable(estimates[0], err)
 		} else {
 			s.colocation.Restore(e)
+			s.colocation.RestoreCurves(e, s.now(), int64(s.storeNow()))
 		}
 	}
 	if len(heartbeats) > 0 {
