--- a/internal/colocation/estimates.go
+++ b/internal/colocation/estimates.go
@@ -41,13 +41,25 @@
 // weights returns the weights of the pair by use.
 func (p *PairEstimate) weights() weights {
 	w := newWeights()
-	w[UseFull] = weight{p.Mean, p.Variance}
+	if p.Variance > 0 {
+		w[UseFull] = boundedWeight(p.Mean, p.Variance)
+	}
 	if p.ReducedVariance > 0 {
-		w[UseReduced] = weight{p.ReducedMean, p.ReducedVariance}
+		w[UseReduced] = boundedWeight(p.ReducedMean, p.ReducedVariance)
 	}
 	return w
 }
 
+// boundedWeight returns a weight that was stored or received, within the bounds of an estimated one.
+func boundedWeight(mean, variance float64) weight {
+	return weight{min(weightMax, max(weightMin, mean)), min(priorWeightVariance, variance)}
+}
+
+// valid reports whether the load stays near the range of utilisations.
+func (c *CurveEstimate) valid() bool {
+	return c.Level >= 0 && c.Level <= 2 && math.Abs(c.Sin) <= 1 && math.Abs(c.Cos) <= 1
+}
+
 // Known reports whether there is anything to store.
 func (m *Model) Known() bool { return len(m.baselines) > 0 }
 
@@ -108,6 +120,9 @@
 		m.phases.set(now - before)
 		sin, cos := math.Sincos(2 * math.Pi * (now - before - stored).Seconds() / period)
 		for _, ce := range e.Curves {
+			if !ce.valid() {
+				continue
+			}
 			key := StepKey{ce.Job, ce.Occurrence, ce.Step}
 			if m.curves[key] == nil {
 				m.curves[key] = &Curve{}
--- a/internal/colocation/model_test.go
+++ b/internal/colocation/model_test.go
@@ -189,6 +189,28 @@
 	}
 }
 
+// TestRestoreOfInvalidEstimates: estimates outside every bound leave predictions within them.
+func TestRestoreOfInvalidEstimates(t *testing.T) {
+	m := NewModel()
+	e := Estimates{
+		Pairs:        []PairEstimate{{BackfillImage: "f", ServiceImage: "s", Mean: 1e300, Variance: -1, ReducedMean: -4, ReducedVariance: 1e300}},
+		PeriodMillis: 1 << 60, CurvesAt: -1 << 60,
+		Curves: []CurveEstimate{{Job: "a", Level: 1e308, Sin: 1e308, Cos: -1e308}, {Job: "b", Level: 0.5, Sin: 0.2}},
+	}
+	m.Restore(e)
+	m.RestoreCurves(e, time.Hour, 1<<60)
+	for _, job := range []string{"a", "b"} {
+		if load := m.Load(StepKey{Job: job}, time.Hour); !(load >= 0 && load <= 1.5) {
+			t.Errorf("load of %s %v", job, load)
+		}
+	}
+	for _, u := range []Use{UseFull, UseReduced} {
+		if added := m.Added(Run{Image: "f", Share: 1, Use: u}, "s"); !(added >= 0 && added <= weightMax) {
+			t.Errorf("added %v at use %d", added, u)
+		}
+	}
+}
+
 // BenchmarkObserve takes in one reading beside five runs.
 func BenchmarkObserve(b *testing.B) {
 	m := NewModel()
