--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -58,7 +58,6 @@
 	}
 	for step := range j.spec.Steps {
 		work := float64(j.spec.Steps[step].Needs.MilliCPU) / 1000 * float64(s.durationModel.taskMillis(j, step))
-		waiting := 0.0
 		for _, t := range j.stepTasks(k, step) {
 			out.Work += work
 			switch t.Phase {
@@ -66,16 +65,13 @@
 				out.Begun = true
 				continue
 			case workload.Pending:
-				waiting += work * (1 - t.saved())
+				out.Waiting += work * (1 - t.saved())
 			default:
 				out.Begun = true
 			}
 			out.Begun = out.Begun || t.Run > 0
 			out.Left += work * (1 - t.saved())
 		}
-		if waiting > 0 {
-			out.Waiting = append(out.Waiting, queueorder.Demand{Resource: resourceOf(&j.spec.Steps[step]), Work: waiting})
-		}
 	}
 	out.Boost = s.shares.Boost(queueorder.Group{Queue: j.spec.Queue, Size: queueorder.SizeOf(out.Work, out.MeanWork)})
 	return out
@@ -114,48 +110,25 @@
 	return min(1, float64(t.percent)/startedPercent)
 }
 
-// resourceOf names what the tasks of a step compete for: backfill runs of an image for the capacity
-// beside services that bear it, all others for the same capacity.
-func resourceOf(st *workload.Step) string {
-	if st.Backfill {
-		return st.Image
-	}
-	return ""
-}
-
-// capacityByPriority returns the cores that the jobs of a priority follow in on a resource: those of the
-// runs of that priority and of those after it which end by themselves, and what is left for backfill runs.
-func (s *Shard) capacityByPriority() func(priority int, resource string) float64 {
+// capacityByPriority returns the cores that the jobs of a priority follow in: those of the runs
+// of that priority and of those after it which end by themselves.
+func (s *Shard) capacityByPriority() func(priority int) float64 {
 	cfg, now := s.cfg.Config(), s.now()
-	type key struct {
-		priority int
-		resource string
-	}
-	cores := map[key]float64{}
+	cores := map[int]float64{}
 	for _, h := range s.hosts {
 		if !h.acceptsRuns(now) {
 			continue
 		}
 		for _, t := range h.tasks {
 			if q := queueOf(cfg, t.job); q != nil && !t.step.LongRunning {
-				cores[key{q.Priority, resourceOf(t.step)}] += float64(t.step.Needs.MilliCPU) / 1000
+				cores[q.Priority] += float64(t.step.Needs.MilliCPU) / 1000
 			}
 		}
 	}
-	if now-s.backfillCapacityAt > backfillCapacityMaxAge {
-		s.backfillCapacity, s.backfillCapacityAt = s.computeBackfillCapacity(now), now
-	}
-	free := map[string]float64{}
-	for _, c := range s.backfillCapacity {
-		free[c.Image] = float64(c.MilliCPU) / 1000
-	}
-	return func(priority int, resource string) float64 {
+	return func(priority int) float64 {
 		sum := 0.0
-		if resource != "" {
-			sum = free[resource]
-		}
-		for k, c := range cores {
-			if k.priority >= priority && (resource == "" || k.resource == resource) {
+		for p, c := range cores {
+			if p >= priority {
 				sum += c
 			}
 		}
--- a/internal/queueorder/order.go
+++ b/internal/queueorder/order.go
@@ -45,7 +45,7 @@
 	Work     float64       // expected work of all its tasks
 	MeanWork float64       // mean of Work over the queue's jobs, 0 if unknown
 	Left     float64       // expected work that is not done yet
-	Waiting  []Demand      // expected work of the tasks that have no run, by resource
+	Waiting  float64       // expected work of the tasks that have no run
 	Begun    bool          // some task runs or has run
 	Boost    float64       // factor for its density, for groups of jobs that fall behind; 0 for 1
 
@@ -53,16 +53,10 @@
 	Density  float64  // set by Rank: worth per work left
 }
 
-// Demand is work that waits for a resource which only some of the capacity offers.
-type Demand struct {
-	Resource string
-	Work     float64 // core-milliseconds
-}
-
 // Rank sets the standing and the density of the jobs and sorts them in the order in which they get
 // capacity. Jobs that have begun come first among those that can end in time: capacity given
 // to many jobs at once finishes few of them.
-func Rank(jobs []*Job, cores func(priority int, resource string) float64) {
+func Rank(jobs []*Job, cores func(priority int) float64) {
 	for _, j := range jobs {
 		j.Standing, j.Density = j.alone(), 0
 		j.Density = j.density()
@@ -112,26 +106,22 @@
 
 // doubt finds, in the order of the jobs, those that the jobs before them make late. They take no
 // capacity from the jobs behind them: these are judged as if they were not there.
-func doubt(jobs []*Job, cores func(priority int, resource string) float64) {
-	ahead := map[string]float64{}
+func doubt(jobs []*Job, cores func(priority int) float64) {
+	ahead := 0.0
 	for _, j := range jobs {
 		if j.Standing != Finishable {
 			continue
 		}
 		left := j.Chain
-		for _, d := range j.Waiting {
-			if c := cores(j.Priority, d.Resource); c > 0 {
-				left = max(left, j.Chain+atRate(ahead[d.Resource], c), atRate(ahead[d.Resource]+d.Work, c))
-			}
+		if c := cores(j.Priority); c > 0 {
+			left = max(j.Chain+atRate(ahead, c), atRate(ahead+j.Waiting, c))
 		}
 		margin := time.Duration(chainMargin * float64(j.Chain))
 		if !j.Begun && j.Elapsed+left+margin > j.Allowed {
 			j.Standing = Doubtful
 			continue
 		}
-		for _, d := range j.Waiting {
-			ahead[d.Resource] += d.Work
-		}
+		ahead += j.Waiting
 	}
 }
 
