--- a/internal/colocation/curve.go
+++ b/internal/colocation/curve.go
@@ -45,9 +45,9 @@
 // moments are the weighted sums of a linear regression on a level and one oscillation.
 type moments struct{ s, c, ss, sc, cc, ys, yc float64 }
 
-// Curve is the own load of a service over time: a level and an oscillation. It is a Bayesian linear
+// curve is the own load of a service over time: a level and an oscillation. It is a Bayesian linear
 // regression for each candidate period; old observations lose their weight.
-type Curve struct {
+type curve struct {
 	updatedAt  time.Duration
 	n, y       float64 // sums of weights and of loads, which do not depend on the period
 	candidates [periods]moments
@@ -64,7 +64,7 @@
 }
 
 // observe takes in a load at p.at with the given variance.
-func (c *Curve) observe(p *phases, load, variance float64) {
+func (c *curve) observe(p *phases, load, variance float64) {
 	keep := 1.0
 	if c.n > 0 {
 		keep = math.Exp(-max(0, p.at-c.updatedAt).Seconds() / memory.Seconds())
@@ -82,7 +82,7 @@
 
 // solve returns the fit for the candidate period, by the Cholesky decomposition of the normal
 // equations.
-func (c *Curve) solve(candidate int) solution {
+func (c *curve) solve(candidate int) solution {
 	m := &c.candidates[candidate]
 	l11 := math.Sqrt(c.n + 1/levelVariance)
 	l21, l31 := m.s/l11, m.c/l11
@@ -102,7 +102,7 @@
 }
 
 // fit returns the fit for the candidate period, solved at most once for each observation.
-func (c *Curve) fit(candidate int) solution {
+func (c *curve) fit(candidate int) solution {
 	if !c.solved || c.solvedFor != candidate {
 		c.solution, c.solved, c.solvedFor = c.solve(candidate), true, candidate
 	}
@@ -110,7 +110,7 @@
 }
 
 // at returns the expected load at a time for the candidate period.
-func (c *Curve) at(t time.Duration, candidate int) float64 {
+func (c *curve) at(t time.Duration, candidate int) float64 {
 	f := c.fit(candidate)
 	s, k := math.Sincos(2 * math.Pi * t.Seconds() / periodOf(candidate))
 	return f.level + f.sin*s + f.cos*k
@@ -132,7 +132,7 @@
 }
 
 // peak returns the highest expected load in the given number of seconds from now on.
-func (c *Curve) peak(now time.Duration, seconds, candidate int) float64 {
+func (c *curve) peak(now time.Duration, seconds, candidate int) float64 {
 	seconds = min(maxHorizon, max(1, seconds))
 	cached := &c.peaks[seconds-1]
 	if cached.at > 0 && now-cached.at < peakMaxAge {
--- a/internal/colocation/estimates.go
+++ b/internal/colocation/estimates.go
@@ -125,7 +125,7 @@
 			}
 			key := StepKey{ce.Job, ce.Occurrence, ce.Step}
 			if m.curves[key] == nil {
-				m.curves[key] = &Curve{}
+				m.curves[key] = &curve{}
 			}
 			m.curves[key].observe(&m.phases, min(1, max(0, ce.Level+ce.Sin*sin+ce.Cos*cos)), restoredVariance)
 		}
--- a/internal/colocation/model.go
+++ b/internal/colocation/model.go
@@ -63,7 +63,7 @@
 	baselines  map[string]float64 // lowest tail latency of each service image, milliseconds
 	pairs      map[pair]*weights
 	fullShares map[string]float64 // by backfill image
-	curves     map[StepKey]*Curve
+	curves     map[StepKey]*curve
 	period     int // candidate
 	periodAt   time.Duration
 	phases     phases
@@ -74,7 +74,7 @@
 func NewModel() *Model {
 	return &Model{
 		baselines: map[string]float64{}, pairs: map[pair]*weights{}, fullShares: map[string]float64{},
-		curves: map[StepKey]*Curve{}, period: periods / 2,
+		curves: map[StepKey]*curve{}, period: periods / 2,
 	}
 }
 
@@ -163,7 +163,7 @@
 	c := m.curves[s.Step]
 	expected := m.Load(s.Step, at)
 	if c == nil {
-		c = &Curve{}
+		c = &curve{}
 		m.curves[s.Step] = c
 	}
 	deviation := u - added - expected
