--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -178,27 +178,7 @@
 			others++
 		}
 	}
-	return otherImageCost*float64(others) + otherStepsCost[min(len(otherStepsCost)-1, sl.host.otherSteps(t))]
-}
-
-// otherStepsCost is the cost of joining a number of other steps.
-var otherStepsCost = [...]float64{0, 1.0, 0.5, 0.1}
-
-// otherSteps counts the steps with services on h other than that of t; 0 if t joins its own.
-func (h *host) otherSteps(t *task) int {
-	var seen []*workload.Step
-	for _, o := range h.tasks {
-		if !o.isService() {
-			continue
-		}
-		if o.step == t.step {
-			return 0
-		}
-		if !slices.Contains(seen, o.step) {
-			seen = append(seen, o.step)
-		}
-	}
-	return len(seen)
+	return otherImageCost * float64(others)
 }
 
 const (
