--- a/internal/dispatch/interference_estimates.go
+++ b/internal/dispatch/interference_estimates.go
@@ -21,7 +21,7 @@
 
 const (
 	// estimatesPullInterval is the pause between requests for the estimates of other
-	// shards. With two hundred pairs a response has about 10 kB.
+	// shards. With two hundred pairs a response has about 14 kB.
 	estimatesPullInterval = 2 * time.Second
 	// estimatesPullTimeout bounds such a request.
 	estimatesPullTimeout = 900 * time.Millisecond
