--- a/internal/colocation/curve.go
+++ b/internal/colocation/curve.go
@@ -54,7 +54,7 @@
 	solution   solution
 	solved     bool
 	solvedFor  int
-	peaks      [maxHorizon]cachedPeak // by horizon in seconds, less one
+	peaks      [MaxHorizon]cachedPeak // by horizon in seconds, less one
 }
 
 // solution is the fit for one period.
@@ -121,8 +121,8 @@
 	peakStep = 300 * time.Millisecond
 	// peakMaxAge is how long a peak is reused.
 	peakMaxAge = 100 * time.Millisecond
-	// maxHorizon bounds the time over which a peak is looked for, in seconds.
-	maxHorizon = 4
+	// MaxHorizon bounds the time over which a peak is looked for, in seconds.
+	MaxHorizon = 4
 )
 
 // cachedPeak is the peak for one horizon.
@@ -133,7 +133,7 @@
 
 // peak returns the highest expected load in the given number of seconds from now on.
 func (c *curve) peak(now time.Duration, seconds, candidate int) float64 {
-	seconds = min(maxHorizon, max(1, seconds))
+	seconds = min(MaxHorizon, max(1, seconds))
 	cached := &c.peaks[seconds-1]
 	if cached.at > 0 && now-cached.at < peakMaxAge {
 		return cached.load
--- a/internal/colocation/estimates.go
+++ b/internal/colocation/estimates.go
@@ -110,9 +110,9 @@
 	restoredVariance = 0.02
 )
 
-// RestoreCurves loads the curves that an earlier owner stored, at a time that is clock on the store's clock.
+// RestoreCurves loads the curves that an earlier owner stored, at a time that is clock on the store's clock. Their
+// period is restored by Restore, before.
 func (m *Model) RestoreCurves(e Estimates, now time.Duration, clock int64) {
-	m.setPeriod(e.PeriodMillis)
 	period := periodOf(m.period)
 	stored := now - time.Duration(clock-e.CurvesAt)*time.Millisecond
 	for i := range restoredPoints {
--- a/internal/colocation/model.go
+++ b/internal/colocation/model.go
@@ -142,7 +142,6 @@
 func (m *Model) Observe(s Service, runs []Run, now time.Duration) float64 {
 	m.observeBaseline(s.Image, s.Tail)
 	at := now - ReportWindow/2
-	m.phases.set(at)
 	u := m.Utilisation(s.Image, s.Tail)
 	added, variance, known := 0.0, readingVariance, true
 	for _, r := range runs {
@@ -169,6 +168,7 @@
 	deviation := u - added - expected
 	m.meanSquare += (deviation*deviation - m.meanSquare) / errorWindow
 	if u < maxUtilisation {
+		m.phases.set(at)
 		c.observe(&m.phases, u-added, variance)
 	}
 	if known && c.n > 0 {
--- a/internal/dispatch/backfill.go
+++ b/internal/dispatch/backfill.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"skylarkport/internal/colocation"
 	"skylarkport/internal/contract/fleet"
 )
 
@@ -73,12 +74,12 @@
 // backfillKey names what backfill runs have in common that a host has the same capacity for.
 type backfillKey struct {
 	image   string
-	seconds int // that they last
+	seconds int // that they last, as far as loads are predicted
 }
 
 func (p *planPass) backfillKey(t *task) backfillKey {
 	left := float64(p.s.expectedDuration(t)) * (1 - t.saved())
-	return backfillKey{t.step.Image, 1 + int(left/float64(time.Second))}
+	return backfillKey{t.step.Image, min(colocation.MaxHorizon, 1+int(left/float64(time.Second)))}
 }
 
 // maxBackfillShare returns the fraction of sl's CPU that one more backfill run like that of t may use.
@@ -92,12 +93,11 @@
 	}
 	maxShare, ok := sl.maxBackfillShare[k]
 	if !ok {
-		headrooms, ok := sl.headrooms[k.seconds]
-		if !ok {
-			headrooms = p.s.headrooms(sl.host, p.now, k.seconds)
-			sl.headrooms[k.seconds] = headrooms
+		headrooms := &sl.headrooms[k.seconds-1]
+		if *headrooms == nil {
+			*headrooms = p.s.headrooms(sl.host, p.now, k.seconds)
 		}
-		maxShare = p.s.maxShareFor(k.image, headrooms)
+		maxShare = p.s.maxShareFor(k.image, *headrooms)
 		sl.maxBackfillShare[k] = maxShare
 	}
 	return maxShare
--- a/internal/dispatch/colocation.go
+++ b/internal/dispatch/colocation.go
@@ -144,13 +144,13 @@
 // maxAddedUtilisation is the most that the backfill run of b adds to the utilisation of a
 // service on h.
 func (s *Shard) maxAddedUtilisation(b *task, h *host) float64 {
-	most, last := 0.0, ""
+	most, last, run := 0.0, "", b.run(h)
 	for _, t := range h.tasks {
 		if !t.isService() || t.step.Image == last {
 			continue
 		}
 		last = t.step.Image
-		most = max(most, s.addedUtilisation(b, t, h))
+		most = max(most, s.colocation.Added(run, t.step.Image))
 	}
 	return most
 }
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -136,11 +136,7 @@
 
 // maxAttempts is the number of failures of a task after which its job fails.
 func (s *Shard) maxAttempts(j *job) int {
-	cfg := s.cfg.Config()
-	if cfg == nil {
-		return defaultAttempts
-	}
-	if q := cfg.QueueByName(j.spec.Queue); q != nil && q.Attempts > 0 {
+	if q := s.queueByName(j.spec.Queue); q != nil && q.Attempts > 0 {
 		return q.Attempts
 	}
 	return defaultAttempts
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -43,7 +43,6 @@
 	for i, sl := range p.slots {
 		dup := *sl
 		dup.maxBackfillShare = map[backfillKey]float64{}
-		dup.headrooms = map[int][]imageHeadroom{}
 		dup.outlook = sl.outlook.clone()
 		trial[i], origin[&dup] = &dup, sl
 	}
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -77,15 +77,14 @@
 	return out
 }
 
-// allowedTime is the time from its arrival in which j is to end: its longest chain times the slack
-// factor of its queue q, plus the queue's target.
-func (s *Shard) allowedTime(j *job, q *fleet.Queue) time.Duration {
+// allowedTime is the time from its arrival in which a job of the queue q is to end, whose steps begin
+// chains of the given milliseconds: the longest one times the slack factor of the queue, plus its target.
+func allowedTime(chains []int64, q *fleet.Queue) time.Duration {
 	slackFactor, target := defaultSlack, time.Duration(0)
 	if q != nil {
 		slackFactor, target = q.Slack, q.Target
 	}
-	longest := slices.Max(s.durationModel.criticalPaths(j))
-	return time.Duration(float64(longest)*slackFactor)*time.Millisecond + target
+	return time.Duration(float64(slices.Max(chains))*slackFactor)*time.Millisecond + target
 }
 
 // expectedLeft is the expected time until the run of t ends by itself, by its progress where that
--- a/internal/dispatch/order_log.go
+++ b/internal/dispatch/order_log.go
@@ -15,7 +15,7 @@
 	if !s.cfg.Features.Order || state != workload.Completed || j.spec.Timed() {
 		return
 	}
-	allowed := s.allowedTime(j, queueOf(s.cfg.Config(), j))
+	allowed := allowedTime(s.durationModel.criticalPaths(j), queueOf(s.cfg.Config(), j))
 	took := s.occurrenceAge(j, 0)
 	s.cfg.Metrics.JobEnded(took <= allowed)
 	s.observeOutcome(j, s.durationModel.expectedWork(&j.spec, 0), took <= allowed)
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -83,14 +83,7 @@
 	f.plan(f.now)
 	f.confirmRuns()
 	h := f.hosts["w0"]
-	h.Address = "" // stops are not sent in this test
-	for _, task := range h.tasks {
-		if task.isService() {
-			task.gauge = 160
-		}
-	}
-	f.now += time.Second
-	f.controlTailLatencies(h, f.now)
+	f.exceedTarget(h)
 	if !expired.tasks[0][0].stopWanted || urgent.tasks[0][0].stopWanted {
 		t.Errorf("stopped: expired %v, urgent %v", expired.tasks[0][0].stopWanted, urgent.tasks[0][0].stopWanted)
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"skylarkport/internal/colocation"
 	"skylarkport/internal/contract/fleet"
 	"skylarkport/internal/resource"
 	"skylarkport/internal/workload"
@@ -22,8 +23,8 @@
 	probation *job            // job of one that must be the only start, nil for none
 	// maxBackfillShare caches the fraction of the host's CPU that one more backfill run may use.
 	maxBackfillShare map[backfillKey]float64
-	headrooms        map[int][]imageHeadroom // of the services, by seconds from now; computed on demand
-	outlook          *outlook                // nil without reservations
+	headrooms        [colocation.MaxHorizon][]imageHeadroom // by seconds from now, less one; computed on demand
+	outlook          *outlook                               // nil without reservations
 }
 
 // slots returns the hosts that accept new runs, ordered by id.
@@ -39,7 +40,7 @@
 			}
 			continue
 		}
-		sl := &slot{host: h, free: h.free(), idleCPU: h.Capacity.MilliCPU - h.usedCPU(), maxBackfillShare: map[backfillKey]float64{}, headrooms: map[int][]imageHeadroom{}}
+		sl := &slot{host: h, free: h.free(), idleCPU: h.Capacity.MilliCPU - h.usedCPU(), maxBackfillShare: map[backfillKey]float64{}}
 		for _, t := range h.tasks {
 			if t.isService() {
 				sl.services++
@@ -363,6 +364,6 @@
 	sl.countSuspect(t)
 	if t.isService() || t.step.Backfill {
 		clear(sl.maxBackfillShare)
-		clear(sl.headrooms)
+		clear(sl.headrooms[:])
 	}
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -278,9 +278,8 @@
 // after its age and the chain still to run.
 func (s *Shard) setUrgency(c *candidate, j *job, k, step int, q *fleet.Queue) *candidate {
 	c.job = j
-	slackFactor, target := defaultSlack, time.Duration(0)
 	if q != nil {
-		c.priority, slackFactor, target = q.Priority, q.Slack, q.Target
+		c.priority = q.Priority
 	}
 	if j.spec.Steps[step].LongRunning {
 		c.class = classLongRunning
@@ -294,11 +293,11 @@
 		return c
 	}
 	criticalPaths := s.durationModel.criticalPaths(j)
-	allowedTime := time.Duration(float64(slices.Max(criticalPaths))*slackFactor)*time.Millisecond + target
+	allowed := allowedTime(criticalPaths, q)
 	elapsed := s.occurrenceAge(j, k)
 	remaining := time.Duration(criticalPaths[step]) * time.Millisecond
-	c.slack = allowedTime - elapsed - remaining
-	c.allowed, c.elapsed, c.remaining = allowedTime, elapsed, remaining
+	c.slack = allowed - elapsed - remaining
+	c.allowed, c.elapsed, c.remaining = allowed, elapsed, remaining
 	switch {
 	case c.slack >= 0:
 		c.class = classOnTime
@@ -306,7 +305,7 @@
 			relativeWork := s.meanWork.relative(j.spec.Queue, s.durationModel.expectedWork(&j.spec, step))
 			c.slack += time.Duration(relativeWork * float64(s.sizeWeight))
 		}
-	case elapsed+remaining < lateFactor*allowedTime:
+	case elapsed+remaining < lateFactor*allowed:
 		c.class = classLate
 	default:
 		c.class = classExpired
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -181,6 +181,19 @@
 	return f
 }
 
+// exceedTarget reports, a second later, a tail latency over the target for the services on h. Stops
+// are not sent.
+func (f *fixture) exceedTarget(h *host) {
+	h.Address = ""
+	for _, t := range h.tasks {
+		if t.isService() {
+			t.gauge = 160
+		}
+	}
+	f.now += time.Second
+	f.controlTailLatencies(h, f.now)
+}
+
 // setWeight sets what the backfill image adds to services of the image "s".
 func (f *fixture) setWeight(image string, weight float64) {
 	f.colocation.Restore(colocation.Estimates{Pairs: []colocation.PairEstimate{
@@ -242,15 +255,7 @@
 	heavy := f.add("b", "batch", workload.Step{Tasks: 1, Backfill: true, Checkpoints: true, Image: "heavy"})
 	f.plan(f.now)
 	f.confirmRuns()
-	h := f.hosts["w0"]
-	h.Address = "" // stops are not sent in this test
-	for _, t := range h.tasks {
-		if t.isService() {
-			t.gauge = 160
-		}
-	}
-	f.now += time.Second
-	f.controlTailLatencies(h, f.now)
+	f.exceedTarget(f.hosts["w0"])
 	if !heavy.tasks[0][0].stopWanted || light.tasks[0][0].stopWanted {
 		t.Errorf("stopped: heavy %v, light %v", heavy.tasks[0][0].stopWanted, light.tasks[0][0].stopWanted)
 	}
--- a/internal/dispatch/tail_latency.go
+++ b/internal/dispatch/tail_latency.go
@@ -55,7 +55,8 @@
 const settleTime = 700 * time.Millisecond
 
 // relieveServices throttles or stops the backfill runs that disturb a service over its
-// target most, and speeds throttled runs up again when every service has headroom.
+// target most, and speeds throttled runs up again when every service has headroom. Of a service that
+// has exceeded its target for more than a third of the allowed time, all are throttled or stopped.
 func (s *Shard) relieveServices(h *host, services, backfills []*task, now time.Duration) {
 	if len(backfills) == 0 {
 		return
@@ -72,8 +73,9 @@
 		if t.overTargetSince == 0 {
 			t.overTargetSince = now
 		}
-		if excess := s.presentUtilisation(t, h, now) - targetUtilisation; excess > 0 || now-t.overTargetSince > s.cfg.Bounds.MaxOverTarget/3 {
-			s.relieveService(h, t, backfills, excess+reliefMargin, now)
+		all := now-t.overTargetSince > s.cfg.Bounds.MaxOverTarget/3
+		if excess := s.presentUtilisation(t, h, now) - targetUtilisation; excess > 0 || all {
+			s.relieveService(h, t, backfills, excess+reliefMargin, all, now)
 		}
 	}
 	for _, backfill := range backfills {
@@ -91,10 +93,8 @@
 }
 
 // relieveService stops or throttles the backfill runs on h, those that disturb t most first,
-// until together they account for excess of the utilisation of t. If t has exceeded its
-// target for more than a third of the allowed time, all backfill runs are stopped or
-// throttled.
-func (s *Shard) relieveService(h *host, t *task, backfills []*task, excess float64, now time.Duration) {
+// until together they account for excess of the utilisation of t, or all of them.
+func (s *Shard) relieveService(h *host, t *task, backfills []*task, excess float64, all bool, now time.Duration) {
 	byImpact := slices.Clone(backfills)
 	slices.SortFunc(byImpact, func(a, b *task) int {
 		return cmp.Compare(s.addedUtilisation(b, t, h), s.addedUtilisation(a, t, h))
@@ -102,7 +102,6 @@
 	if s.cfg.Features.Order {
 		s.sortForRelief(byImpact, t, h)
 	}
-	all := now-t.overTargetSince > s.cfg.Bounds.MaxOverTarget/3
 	for _, backfill := range byImpact {
 		if excess <= 0 && !all {
 			return
