review: a route that needs advice starves beside approved workers

Cause: a call for advice names the first 30 suitable workers by id, and the next call names the same ones if none of them is approved.

Added: a stand-in for the adviser, workers that are lost for good, and case 5.

--- a/review/cases/cases.go
+++ b/review/cases/cases.go
@@ -127,3 +127,27 @@
 	c.Finish(finishTime)
 	return nil
 }
+
+// advice loses for good those approved workers that are among the first by id, on a route whose
+// tasks only some workers may run. Other approved workers stay.
+func advice(program string, trouble bool, rec *stand.Record) error {
+	hold, _ := routes()
+	c, err := stand.Start(stand.Plan{Program: program, Nodes: 6, Workers: 48, Routes: []*stand.Route{hold}, Advice: true}, rec)
+	if err != nil {
+		return err
+	}
+	defer c.Stop()
+	first, last := []int{2, 5, 8}, []int{36, 39, 42, 45}
+	for _, i := range append(first, last...) {
+		c.Adviser.Approve(c.Workers[i].ID)
+	}
+	traffic(c, hold, 3, 8*time.Second)
+	if trouble {
+		for _, i := range first {
+			c.Workers[i].Crash()
+		}
+	}
+	traffic(c, hold, 3, 15*time.Second)
+	c.Finish(finishTime)
+	return nil
+}
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -22,6 +22,7 @@
 	"unrunnable":    unrunnable,
 	"many-ends":     manyEnds,
 	"dropped-route": droppedRoute,
+	"advice":        advice,
 }
 
 func main() {
--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -16,6 +16,7 @@
 type Cluster struct {
 	Store   *Store
 	Judge   *Judge
+	Adviser *Adviser // nil if no route asks for advice
 	Workers []*Worker
 
 	rec     *Record
@@ -42,6 +43,7 @@
 	Nodes   int
 	Workers int
 	Routes  []*Route
+	Advice  bool // all routes ask for advice
 }
 
 // Start starts the stand-ins and the nodes and waits until the nodes are ready.
@@ -54,10 +56,15 @@
 	if c.Store, err = NewStore(rec); err != nil {
 		return nil, err
 	}
+	if p.Advice {
+		if c.Adviser, err = NewAdviser(rec); err != nil {
+			return nil, err
+		}
+	}
 	c.PutConfig(p.Routes)
 	for i := range p.Workers {
 		zone := i % len(zones)
-		w, err := NewWorker(fmt.Sprintf("i-%08x", 0x7f3a9000+i*0x1357), zones[zone], Service, fmt.Sprintf("r%d-%d", zone, i/len(zones)/8), 32000, 128000, c.Store, c.Judge, rec)
+		w, err := NewWorker(fmt.Sprintf("i-%08x", 0x7f3a9000+i*0x1357), zones[zone], Service, fmt.Sprintf("r%d-%d", zone, i/len(zones)/8), 32000, 128000, c.Store, c.Judge, c.Adviser, rec)
 		if err != nil {
 			return nil, err
 		}
@@ -75,10 +82,16 @@
 	c.version += 3
 	list := make([]map[string]any, 0, len(routes))
 	for _, r := range routes {
-		list = append(list, map[string]any{
+		route := map[string]any{
 			"Name": r.Name, "Hostname": r.Host, "Prefix": r.Prefix, "RouteType": "non_idempotent", "TimeoutMs": 3000,
 			"TargetLatencyMs": r.TargetMs, "Priority": r.Priority, "Service": Service, "RetryAttempts": r.Attempts, "SlackFactor": 2.0,
-		})
+		}
+		if c.Adviser != nil {
+			route["Recommendation"] = map[string]any{
+				"DecisionMs": decisionTime.Milliseconds(), "PerWorkerMs": perWorkerTime.Milliseconds(), "ValidityMs": ticketValidity.Milliseconds(),
+			}
+		}
+		list = append(list, route)
 		c.rec.Event("operator", "config %d has route %s", c.version, r.Name)
 	}
 	c.Store.Put("op", "config", map[string]any{
@@ -130,9 +143,13 @@
 
 // writeSettings writes the settings of deploy/node.json.tmpl with the figures of the sheet.
 func (c *Cluster) writeSettings(n *node, zone, metrics string, seeds []string) error {
+	adviser := ""
+	if c.Adviser != nil {
+		adviser = c.Adviser.Addr
+	}
 	b, err := json.MarshalIndent(map[string]any{
 		"instance": n.name, "zone": zone, "zones": zones, "front": n.front, "ready": n.ready, "control": n.control, "metrics": metrics,
-		"seeds": seeds, "store": c.Store.Addr, "adviser": "",
+		"seeds": seeds, "store": c.Store.Addr, "adviser": adviser,
 		"machine": map[string]any{"cpu_share": 0.4, "cpu_speed": 1, "link_mbps": 1000.0},
 		"bounds": map[string]any{
 			"lease_max": "6000ms", "gang_wait": "3000ms", "keep_ended": "120s", "early_start": "250ms", "impact": "4000ms", "grace": "6s",
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -67,7 +67,7 @@
 	mux.HandleFunc("POST /rows-tx", s.serveTx)
 	mux.HandleFunc("GET /rows-get", s.serveGet)
 	mux.HandleFunc("GET /rows-feed", s.serveFeed)
-	addr, err := listenAndServe(mux)
+	addr, _, err := listenAndServe(mux)
 	s.Addr = addr
 	return s, err
 }
@@ -105,6 +105,13 @@
 	return true
 }
 
+// Remove deletes a row of the platform's own.
+func (s *Store) Remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(nil, []Row{{Table: table, Key: key}})
+}
+
 // apply writes and deletes rows as one version. The caller holds the lock.
 func (s *Store) apply(writes, deletes []Row) {
 	s.ver++
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -27,12 +27,13 @@
 type Worker struct {
 	ID, Addr, Zone, Service, Rack string
 
-	store *Store
-	judge *Judge
-	rec   *Record
-	born  time.Time
-	cpu   int64 // thousandths of a core
-	memMb int64
+	store   *Store
+	judge   *Judge
+	adviser *Adviser // nil if the starts need no tickets
+	rec     *Record
+	born    time.Time
+	cpu     int64 // thousandths of a core
+	memMb   int64
 
 	mu       sync.Mutex
 	runs     map[string]*run // by task
@@ -42,6 +43,8 @@
 	epoch    int64
 	lease    time.Time
 	seq      int
+	gone     bool
+	stop     func()
 	changed  chan struct{} // closed and replaced at each end
 }
 
@@ -64,9 +67,9 @@
 }
 
 // NewWorker starts a worker and registers it.
-func NewWorker(id, zone, service, rack string, cpu, memMb int64, store *Store, judge *Judge, rec *Record) (*Worker, error) {
+func NewWorker(id, zone, service, rack string, cpu, memMb int64, store *Store, judge *Judge, adviser *Adviser, rec *Record) (*Worker, error) {
 	w := &Worker{
-		ID: id, Zone: zone, Service: service, Rack: rack, store: store, judge: judge, rec: rec, born: time.Now(), cpu: cpu, memMb: memMb,
+		ID: id, Zone: zone, Service: service, Rack: rack, store: store, judge: judge, adviser: adviser, rec: rec, born: time.Now(), cpu: cpu, memMb: memMb,
 		runs: map[string]*run{}, highest: map[string]int{}, changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -75,11 +78,10 @@
 	mux.HandleFunc("POST /hold", w.guard(w.serveHold))
 	mux.HandleFunc("POST /pace", w.guard(func(rw http.ResponseWriter, _ *http.Request, _ *command) { w.answer(rw, http.StatusOK, "") }))
 	mux.HandleFunc("GET /health", func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusOK) })
-	addr, err := listenAndServe(mux)
-	if err != nil {
+	var err error
+	if w.Addr, w.stop, err = listenAndServe(mux); err != nil {
 		return nil, err
 	}
-	w.Addr = addr
 	judge.mu.Lock()
 	judge.workers = append(judge.workers, w)
 	judge.mu.Unlock()
@@ -90,7 +92,7 @@
 
 // beat registers the worker again and again.
 func (w *Worker) beat() {
-	for {
+	for !w.isGone() {
 		w.seq++
 		w.store.Put("servers", w.ID, map[string]any{
 			"Service": w.Service, "Address": w.Addr, "Zone": w.Zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0,
@@ -101,12 +103,41 @@
 	}
 }
 
+// entryLifetime is how long the entry of a silent worker stays in the store.
+const entryLifetime = 3 * heartbeat
+
+// Crash loses the worker for good, with all its runs.
+func (w *Worker) Crash() {
+	w.stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.gone, w.lease = true, time.Time{}
+	w.rec.Event(w.ID, "is lost for good with %d runs", len(w.runs))
+	for name, r := range w.runs {
+		if r.timer != nil {
+			r.timer.Stop()
+		}
+		w.judge.ended(w.ID, name, "gone")
+	}
+	w.runs = map[string]*run{}
+	time.AfterFunc(entryLifetime, func() { w.store.Remove("servers", w.ID) })
+}
+
+func (w *Worker) isGone() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.gone
+}
+
 // clock is the worker's clock in milliseconds.
 func (w *Worker) clock() int64 { return time.Since(w.born).Milliseconds() + 1000 }
 
 func (w *Worker) usedCPU() int64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.gone {
+		return w.cpu
+	}
 	cpu, _ := w.used()
 	return cpu
 }
@@ -149,6 +180,7 @@
 	DeadlineMs   int64  `json:"DeadlineMs"`
 	FencingToken int64  `json:"FencingToken"`
 	Checkpoint   string `json:"Checkpoint"`
+	Ticket       string `json:"Ticket"`
 	AckCursor    int64  `json:"AckCursor"`
 	WaitMs       int64  `json:"WaitMs"`
 }
@@ -225,6 +257,9 @@
 	if c.DeadlineMs <= w.clock() {
 		return "late"
 	}
+	if w.adviser != nil && !w.adviser.valid(c.Ticket, c.Task, w.ID) {
+		return "ticket"
+	}
 	w.extend(c.DeadlineMs)
 	if cpu, mem := w.used(); cpu+step.CPU > w.cpu || mem+step.MemMb > w.memMb {
 		return "room"
