--- a/review/cases/cases.go
+++ b/review/cases/cases.go
@@ -151,3 +151,28 @@
 	c.Finish(finishTime)
 	return nil
 }
+
+// often hands in one timed job of a single small task that has run some thousand times, among small
+// jobs and watches. It shows the fault of the case unrunnable on a job that each worker can run.
+func often(program string, trouble bool, rec *stand.Record) error {
+	hold, batch := routes()
+	c, err := stand.Start(stand.Plan{Program: program, Nodes: 6, Workers: 12, Routes: []*stand.Route{hold, batch}}, rec)
+	if err != nil {
+		return err
+	}
+	defer c.Stop()
+	for range 3 {
+		c.Submit(watchJob(hold))
+	}
+	times := 9000
+	if !trouble {
+		times = 2000
+	}
+	c.Submit(&stand.Job{
+		ID: stand.NewID(), Route: batch, TaskSpec: "renew subscriptions", RepeatCount: times, IntervalMs: 8, StartAtMs: time.Now().UnixMilli() + 1000,
+		Steps: []stand.Step{{Count: 1, CPU: 100, MemMb: 64, EstimatedMs: 20, WorkMs: func(int) int64 { return 20 }}},
+	})
+	traffic(c, hold, 4, 75*time.Second)
+	c.Finish(finishTime)
+	return nil
+}
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -20,6 +20,7 @@
 
 var cases = map[string]func(program string, trouble bool, rec *stand.Record) error{
 	"unrunnable":    unrunnable,
+	"often":         often,
 	"many-ends":     manyEnds,
 	"dropped-route": droppedRoute,
 	"advice":        advice,
