review: one bad worker fails a job with a gang after one of three attempts

Cause: each member of a gang that ends failed adds to the failures of the gang's first member, so that one run of the gang counts as several attempts.

--- a/review/cases/cases.go
+++ b/review/cases/cases.go
@@ -176,3 +176,27 @@
 	c.Finish(finishTime)
 	return nil
 }
+
+// gang lets one worker of twelve fail all that it starts while jobs with a gang come.
+func gang(program string, trouble bool, rec *stand.Record) error {
+	hold, batch := routes()
+	c, err := stand.Start(stand.Plan{Program: program, Nodes: 6, Workers: 12, Routes: []*stand.Route{hold, batch}}, rec)
+	if err != nil {
+		return err
+	}
+	defer c.Stop()
+	time.Sleep(time.Second)
+	if trouble {
+		c.Workers[7].SetBad(true)
+		time.AfterFunc(6500*time.Millisecond, func() { c.Workers[7].SetBad(false) })
+	}
+	for range 4 {
+		c.Submit(&stand.Job{ID: stand.NewID(), Route: hold, TaskSpec: "hold stock", Steps: []stand.Step{
+			{Count: 36, CPU: 1000, MemMb: 256, EstimatedMs: 1500, Gang: true, WorkMs: func(int) int64 { return 1500 }},
+		}})
+		time.Sleep(1500 * time.Millisecond)
+	}
+	time.Sleep(5 * time.Second)
+	c.Finish(finishTime)
+	return nil
+}
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -24,6 +24,7 @@
 	"many-ends":     manyEnds,
 	"dropped-route": droppedRoute,
 	"advice":        advice,
+	"gang":          gang,
 }
 
 func main() {
--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -256,8 +256,10 @@
 		switch {
 		case a.status == 0 || a.status >= 500 || a.status == http.StatusGone:
 			c.rec.Broken("LOST", "the accepted job %s is answered %d %s", a.job.ID, a.status, a.state)
-		case a.state == "failed" || a.state == "canceled":
-			c.rec.Broken("LOST", "the accepted job %s is shown as %s without cause", a.job.ID, a.state)
+		case a.state == "canceled":
+			c.rec.Broken("LOST", "the accepted job %s is shown as canceled without cause", a.job.ID)
+		case a.state == "failed" && c.Judge.Attempts(a.job) < a.job.Route.Attempts:
+			c.rec.Broken("LOST", "the accepted job %s is shown as failed, after %d of %d attempts", a.job.ID, c.Judge.Attempts(a.job), a.job.Route.Attempts)
 		case a.state == "completed" && !c.Judge.Done(a.job):
 			c.rec.Broken("MIXED", "job %s is shown as completed while a task has not ended so", a.job.ID)
 		}
--- a/review/stand/judge.go
+++ b/review/stand/judge.go
@@ -26,6 +26,7 @@
 	Checkpointing bool   `json:"Checkpointing,omitempty"`
 	Requirements  string `json:"Requirements,omitempty"`
 	LongRunning   bool   `json:"LongRunning,omitempty"`
+	Gang          bool   `json:"Gang,omitempty"`
 
 	// WorkMs is how long the task with that index takes. It is not sent.
 	WorkMs func(index int) int64 `json:"-"`
@@ -56,6 +57,7 @@
 	doneLapsed bool // the lease of its worker lapsed before that end was taken note of
 	noted      bool // that end was taken note of
 	late       []string
+	failed     []int // the numbers of the runs that ended failed
 }
 
 // Judge compares what clients and workers see with the rules.
@@ -65,10 +67,14 @@
 	mu      sync.Mutex
 	jobs    map[string]*Job
 	workers []*Worker
+
+	gangs gangs
 }
 
 // NewJudge returns a judge without jobs.
-func NewJudge(rec *Record) *Judge { return &Judge{rec: rec, jobs: map[string]*Job{}} }
+func NewJudge(rec *Record) *Judge {
+	return &Judge{rec: rec, jobs: map[string]*Job{}, gangs: gangs{runs: map[string]*gangRun{}}}
+}
 
 // submitted records a job before it is sent.
 func (j *Judge) submitted(job *Job) {
@@ -148,7 +154,7 @@
 }
 
 // ended records the end of a run.
-func (j *Judge) ended(worker, name, how string) {
+func (j *Judge) ended(worker, name string, run int, how string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	_, t, _, _, err := j.taskOf(name)
@@ -156,6 +162,9 @@
 		return
 	}
 	t.running--
+	if how == "failed" {
+		t.failed = append(t.failed, run)
+	}
 	if how == "done" && !t.done {
 		t.done, t.doneOn, t.doneAt = true, worker, time.Now()
 	}
@@ -240,7 +249,7 @@
 		now := time.Now()
 		for _, job := range j.jobs {
 			var step *Step
-			if job.accepted && job.running() == 0 {
+			if job.accepted && job.running() == 0 && j.attempts(job) < job.Route.Attempts {
 				step = job.turnHasCome(now)
 			}
 			if step == nil || step.Requirements != "" && step.Requirements != workerKind || 2*used >= total || free < 2*step.CPU {
@@ -298,3 +307,32 @@
 	}
 	return true
 }
+
+// Attempts returns how often the task of a job, or its gang, that failed most often has failed. The
+// members of a gang that fail in one run of it are one failure of the gang.
+func (j *Judge) Attempts(job *Job) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.attempts(job)
+}
+
+// attempts is Attempts for a caller that holds the lock.
+func (j *Judge) attempts(job *Job) int {
+	most := 0
+	gangs := map[string]map[int]bool{} // the failed runs by step
+	for name, t := range job.tasks {
+		most = max(most, len(t.failed))
+		if _, _, step, _, err := j.taskOf(name); err != nil || !job.Steps[step].Gang {
+			continue
+		}
+		key := name[:strings.LastIndex(name, ".")]
+		if gangs[key] == nil {
+			gangs[key] = map[int]bool{}
+		}
+		for _, run := range t.failed {
+			gangs[key][run] = true
+		}
+		most = max(most, len(gangs[key]))
+	}
+	return most
+}
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -18,6 +18,7 @@
 	restoreTime  = 100 * time.Millisecond
 	endsAtATime  = 500 // ends in one answer
 	maxWait      = 2 * time.Second
+	failTime     = 50 * time.Millisecond // until a bad worker has failed a run
 )
 
 // workerKind is the only label of the workers beside their racks.
@@ -44,6 +45,7 @@
 	lease    time.Time
 	seq      int
 	gone     bool
+	bad      bool // fails all that it starts
 	stop     func()
 	changed  chan struct{} // closed and replaced at each end
 }
@@ -117,12 +119,23 @@
 		if r.timer != nil {
 			r.timer.Stop()
 		}
-		w.judge.ended(w.ID, name, "gone")
+		w.judge.ended(w.ID, name, r.number, "gone")
+		if r.step.Gang {
+			w.judge.gangs.ended(name, r.number)
+		}
 	}
 	w.runs = map[string]*run{}
 	time.AfterFunc(entryLifetime, func() { w.store.Remove("servers", w.ID) })
 }
 
+// SetBad makes the worker fail all that it starts from now on, or ends that.
+func (w *Worker) SetBad(bad bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.bad = bad
+	w.rec.Event(w.ID, "fails all that it starts: %v", bad)
+}
+
 func (w *Worker) isGone() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -274,14 +287,14 @@
 	w.runs[c.Task] = r
 	w.judge.started(w.ID, c.Task, c.Run)
 	w.rec.Limited("start", w.ID, "starts %s run %d", c.Task, c.Run)
-	if !step.LongRunning {
-		r.timer = time.AfterFunc(max(0, r.restore+work-r.saved), func() {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			if w.runs[c.Task] == r {
-				w.endRun(c.Task, "done")
-			}
-		})
+	switch {
+	case w.bad:
+		r.timer = time.AfterFunc(failTime, func() { w.endMember(c.Task, r.number, "failed") })
+	case !step.LongRunning && !step.Gang:
+		r.timer = time.AfterFunc(max(0, r.restore+work-r.saved), func() { w.endMember(c.Task, r.number, "done") })
+	}
+	if step.Gang {
+		w.judge.gangs.join(w, c.Task, r)
 	}
 	return ""
 }
@@ -319,7 +332,10 @@
 	w.highest[name] = max(w.highest[name], r.number)
 	w.endCount++
 	w.ends = append(w.ends, end{w.endCount, name, r.number, how, saved})
-	w.judge.ended(w.ID, name, how)
+	w.judge.ended(w.ID, name, r.number, how)
+	if r.step.Gang && how != "done" {
+		w.judge.gangs.ended(name, r.number)
+	}
 	w.rec.Limited("end "+how, w.ID, "%s run %d ends %s", name, r.number, how)
 	close(w.changed)
 	w.changed = make(chan struct{})
