dispatch: no row outgrows the store, a malformed commit stops its job alone

New jobs got 503, leases lapsed, accepted jobs stayed without a run, and each owner that took over came to the same point.

Cause: the progress row kept every occurrence that had begun, so that it grew with time beyond the store's limit; and a commit that the store rejects as malformed was retried like one that meets an outage, unchanged and without end.

Change: ended occurrences are a count, equal progress is stored once; at most 4,800 tasks of begun occurrences are open; a task is placed or lent only if its job's row has room; checkpoints are left out of a row that would be too large; the accepted row is checked at submission (1412); estimates and lease expiries are bounded. A malformed commit is split until its cause is alone, which is held back.

--- a/internal/colocation/estimates.go
+++ b/internal/colocation/estimates.go
@@ -1,6 +1,7 @@
 package colocation
 
 import (
+	"encoding/json"
 	"math"
 	"time"
 )
@@ -75,7 +76,8 @@
 	for image, p := range m.fullShares {
 		e.FullShares[image] = round(p)
 	}
-	for p, w := range m.pairs {
+	for _, p := range m.recentPairs() {
+		w := m.pairs[p]
 		e.Pairs = append(e.Pairs, PairEstimate{
 			p.backfill, p.service, round(w[UseFull].mean), round(w[UseFull].variance), round(w[UseReduced].mean), round(w[UseReduced].variance),
 		})
@@ -86,8 +88,9 @@
 // maxStoredCurves bounds the curves that are stored, which take about 70 bytes each.
 const maxStoredCurves = 256
 
-// EstimatesToStore returns all estimates at a time that is clock on the store's clock.
-func (m *Model) EstimatesToStore(now time.Duration, clock int64) Estimates {
+// EstimatesToStore returns the estimates at a time that is clock on the store's clock, as far as their
+// encoding fits into limit bytes.
+func (m *Model) EstimatesToStore(now time.Duration, clock int64, limit int) Estimates {
 	e := m.Estimates()
 	e.CurvesAt = clock
 	sin, cos := math.Sincos(2 * math.Pi * now.Seconds() / periodOf(m.period))
@@ -100,9 +103,36 @@
 			k.Job, k.Occurrence, k.Step, round(f.level), round(f.sin*cos - f.cos*sin), round(f.sin*sin + f.cos*cos),
 		})
 	}
+	for e.encodedSize() > limit && e.shrink() {
+	}
 	return e
 }
 
+// encodedSize returns the size of the estimates as they are stored, in bytes.
+func (e *Estimates) encodedSize() int {
+	b, err := json.Marshal(e)
+	if err != nil {
+		return 0 // the types of this package always encode
+	}
+	return len(b)
+}
+
+// shrink drops half of the curves, or else of the pairs, those of images seen least recently, or else
+// the images, and reports whether there was anything to drop. Curves are soon observed again.
+func (e *Estimates) shrink() bool {
+	switch {
+	case len(e.Curves) > 0:
+		e.Curves = e.Curves[:len(e.Curves)/2]
+	case len(e.Pairs) > 0:
+		e.Pairs = e.Pairs[:len(e.Pairs)/2]
+	case len(e.BaselineTails)+len(e.FullShares) > 0:
+		e.BaselineTails, e.FullShares = nil, nil
+	default:
+		return false
+	}
+	return true
+}
+
 const (
 	// restoredPoints is the number of loads, over one period, that a restored curve counts as observed,
 	// and restoredVariance their variance. Observations soon outweigh them.
@@ -147,6 +177,7 @@
 		w := e.Pairs[i].weights()
 		m.pairs[pair{e.Pairs[i].BackfillImage, e.Pairs[i].ServiceImage}] = &w
 	}
+	m.evict()
 	m.setPeriod(e.PeriodMillis)
 }
 
@@ -192,5 +223,6 @@
 			n++
 		}
 	}
+	m.evict()
 	return n
 }
--- a/internal/colocation/model.go
+++ b/internal/colocation/model.go
@@ -67,14 +67,15 @@
 	period     int // candidate
 	periodAt   time.Duration
 	phases     phases
-	meanSquare float64 // of the deviations of readings from what was predicted, smoothed
+	meanSquare float64                  // of the deviations of readings from what was predicted, smoothed
+	seen       map[string]time.Duration // when each image was last reported on a worker here
 }
 
 // NewModel returns a model without observations.
 func NewModel() *Model {
 	return &Model{
 		baselines: map[string]float64{}, pairs: map[pair]*weights{}, fullShares: map[string]float64{},
-		curves: map[StepKey]*curve{}, period: periods / 2,
+		curves: map[StepKey]*curve{}, period: periods / 2, seen: map[string]time.Duration{},
 	}
 }
 
@@ -141,6 +142,10 @@
 // utilisation still deviates from the expected one.
 func (m *Model) Observe(s Service, runs []Run, now time.Duration) float64 {
 	m.observeBaseline(s.Image, s.Tail)
+	m.seen[s.Image] = now
+	for _, r := range runs {
+		m.seen[r.Image] = now
+	}
 	at := now - ReportWindow/2
 	u := m.Utilisation(s.Image, s.Tail)
 	added, variance, known := 0.0, readingVariance, true
@@ -244,6 +249,7 @@
 		return
 	}
 	m.periodAt = now
+	m.evict()
 	var evidence [periods]float64
 	for k, c := range m.curves {
 		if now-c.updatedAt > memory {
--- a/internal/colocation/model_test.go
+++ b/internal/colocation/model_test.go
@@ -176,7 +176,7 @@
 		m.Maintain(now)
 	}
 	successor := NewModel()
-	e := m.EstimatesToStore(now, 5_000_000)
+	e := m.EstimatesToStore(now, 5_000_000, 64<<10)
 	const away = 3700 * time.Millisecond
 	restoredAt := 17 * time.Minute
 	successor.Restore(e)
--- a/internal/contract/outcome.go
+++ b/internal/contract/outcome.go
@@ -66,6 +66,12 @@
 	return Unknown
 }
 
+// IsMalformed reports whether err means that the call was rejected for what it contains. The same call
+// is rejected each time.
+func IsMalformed(err error) bool {
+	return OutcomeOf(err) == Refused && result.Of(err) == result.PlatformBadCall
+}
+
 // IsConflict reports whether err means that a write's condition did not hold.
 func IsConflict(err error) bool { return result.Of(err) == result.PlatformConflict }
 
--- a/internal/dispatch/accept.go
+++ b/internal/dispatch/accept.go
@@ -26,6 +26,11 @@
 	if err := a.Validate(); err != nil {
 		return err
 	}
+	if !a.Moved { // another shard has stored a job that moves
+		if err := s.cfg.Bounds.CheckSize(&a); err != nil {
+			return err
+		}
+	}
 	if s.isUnreadable(a.Spec.ID) {
 		return errUnreadable(a.Spec.ID)
 	}
--- a/internal/dispatch/backfill.go
+++ b/internal/dispatch/backfill.go
@@ -20,7 +20,7 @@
 // throttledStartAfter, on the host where it disturbs services least. It slows the services
 // by more than the run gains, so it is done only while less than half of the CPU is committed.
 func (p *planPass) placeWithCPULimit(t *task, q *fleet.Queue) {
-	if p.lowInterferenceOnly || p.now-t.pendingSince < throttledStartAfter || p.halfReserved || t.job.placed() > 0 {
+	if p.lowInterferenceOnly || p.now-t.pendingSince < throttledStartAfter || p.halfReserved || t.job.placed() > 0 || !p.s.mayPlaceMore(t.job) {
 		return
 	}
 	var found *slot
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -33,8 +33,12 @@
 	// inbox rows, an eighth as many ended jobs (two rows each) and four single rows, a
 	// commit stays within the store's limit of 100 entries a call: 36 jobs give at most 93.
 	maxBatchJobs = 36
-	// maxBatchBytes keeps a commit under the store's limit of 1 MB, which counts base64.
+	// maxBatchBytes bounds the rows of the jobs in a commit. With the heartbeat and the estimates it stays
+	// under the store's limit of 1 MB, which counts base64.
 	maxBatchBytes = 500 << 10
+	// maxPublishedExpiries bounds the lease expiries in the heartbeat row, which take less than 200 bytes
+	// each.
+	maxPublishedExpiries = 256
 	// LeaseRenewalWindow is how long an owner may renew leases after it built its last
 	// durable commit. With the last lease, which ends later, runs survive store outages of
 	// about ten seconds. A successor that cannot reach a worker waits until both are over
@@ -62,16 +66,19 @@
 // batch is one commit and the actions that follow once it is durable.
 type batch struct {
 	tx           fleet.Tx
-	jobs         []*job                   // jobs whose progress it stores
-	states       []workload.State         // the state of each of jobs that it stores
-	newJobs      []*job                   // jobs that it stores for the first time
-	waiters      [][]chan<- error         // callers that wait for each of jobs
-	starts       []*task                  // runs to start
-	appliedEnds  map[*host]incarnationEnd // the last run end of each worker that it includes
-	inboxKeys    []string                 // keys of the inbox rows that it deletes
-	droppedJobs  []string                 // ids of the jobs whose rows it deletes
-	moved        []*job                   // jobs that it stores as moved
-	lent         []lentTask               // tasks that it stores as lent
+	size         int                        // bytes of the rows of the jobs
+	estimates    bool                       // it stores the interference estimates
+	jobs         []*job                     // jobs whose progress it stores
+	ends         []map[*host]incarnationEnd // the unstored run ends of each of jobs
+	states       []workload.State           // the state of each of jobs that it stores
+	newJobs      []*job                     // jobs that it stores for the first time
+	waiters      [][]chan<- error           // callers that wait for each of jobs
+	starts       []*task                    // runs to start
+	appliedEnds  map[*host]incarnationEnd   // the last run end of each worker that it includes
+	inboxKeys    []string                   // keys of the inbox rows that it deletes
+	droppedJobs  []string                   // ids of the jobs whose rows it deletes
+	moved        []*job                     // jobs that it stores as moved
+	lent         []lentTask                 // tasks that it stores as lent
 	heartbeat    heartbeatRow
 	heartbeatDue bool          // the heartbeat alone needs a commit now
 	startedAt    time.Duration // when the first attempt was made
@@ -150,21 +157,12 @@
 	}
 	b.put(TableHeartbeat, KeyHeartbeat, b.heartbeat)
 	s.recordPublishedExpiries(b.heartbeat.LeaseExpiries)
-	if now := s.now(); s.colocation.Known() && now-s.estimatesStoredAt > estimatesStoreInterval {
+	if now := s.now(); s.colocation.Known() && now-s.estimatesStoredAt > estimatesStoreInterval && now >= s.estimatesHeldUntil {
 		s.estimatesStoredAt = now
-		b.put(TableInterference, KeyInterference, s.colocation.EstimatesToStore(now, int64(s.storeNow())))
-	}
-	size, limit, full := 0, s.cfg.StoreLink.batchBytes(), false
-	for _, j := range s.jobs {
-		if !j.dirty {
-			continue
-		}
-		if len(b.jobs) >= maxBatchJobs || size > limit {
-			full = true
-			break
-		}
-		size += s.addJobToBatch(b, j)
+		b.put(TableInterference, KeyInterference, s.colocation.EstimatesToStore(now, int64(s.storeNow()), s.cfg.Bounds.rowLimit()))
+		b.estimates = true
 	}
+	full := s.addJobsToBatch(b)
 	for key := range s.inboxToDelete {
 		if id := inboxJobID(key); s.jobs[id] != nil && s.jobs[id].dirty || len(b.inboxKeys) >= maxBatchJobs/4 {
 			full = true
@@ -180,36 +178,73 @@
 		b.tx.Delete = append(b.tx.Delete, fleet.Row{Table: TableAccepted, Key: id}, fleet.Row{Table: TableProgress, Key: id})
 		b.droppedJobs = append(b.droppedJobs, id)
 	}
-	// A run end is acknowledged to its worker once every job that it changed is
-	// stored: not while some dirty jobs are left to a later commit.
-	if !full {
-		for _, h := range s.hosts {
-			b.appliedEnds[h] = incarnationEnd{h.Incarnation, h.appliedEnd}
-		}
-	} else {
+	s.setAppliedEnds(b)
+	if full {
 		s.wakeCommitLoop()
 	}
 	return b
 }
 
-// addJobToBatch adds the rows of j to b and returns their size in bytes.
-func (s *Shard) addJobToBatch(b *batch, j *job) int {
+// addJobsToBatch adds the changed jobs to b, as far as they fit, and reports whether some are left to
+// the next batch.
+func (s *Shard) addJobsToBatch(b *batch) (full bool) {
+	limit, now := s.cfg.StoreLink.batchBytes(), s.now()
+	for _, j := range s.jobs {
+		if !j.dirty || now < j.heldUntil {
+			continue
+		}
+		if len(b.jobs) >= s.maxBatch() || !s.addJobToBatch(b, j, limit) {
+			return true
+		}
+	}
+	return false
+}
+
+// setAppliedEnds sets the run ends that may be acknowledged to their workers once b is durable: those
+// before the first one that has changed a job which b does not store.
+func (s *Shard) setAppliedEnds(b *batch) {
+	for _, h := range s.hosts {
+		b.appliedEnds[h] = incarnationEnd{h.Incarnation, h.appliedEnd}
+	}
+	for _, j := range s.jobs {
+		for h, first := range j.unstoredEnds {
+			if e, ok := b.appliedEnds[h]; ok && first.incarnation == e.incarnation && first.number <= e.number {
+				b.appliedEnds[h] = incarnationEnd{e.incarnation, first.number - 1}
+			}
+		}
+	}
+}
+
+// addJobToBatch adds the rows of j to b, and reports whether they fit beside those of other jobs.
+func (s *Shard) addJobToBatch(b *batch, j *job, limit int) bool {
+	var rows []fleet.Row
+	if !j.stored {
+		rows = append(rows, fleet.Row{Table: TableAccepted, Key: j.spec.ID, Value: workload.Encode(j.accepted())})
+	}
+	shorten := j.stored && j.hasLongRow()
+	if shorten {
+		rows = append(rows, fleet.Row{Table: TableAccepted, Key: j.spec.ID, Value: workload.Encode(j.shortAccepted())})
+	}
+	rows = append(rows, fleet.Row{Table: TableProgress, Key: j.spec.ID, Value: j.progressRow(s.cfg.Bounds.rowLimit())})
 	size := 0
+	for _, r := range rows {
+		size += len(r.Value)
+	}
+	if len(b.jobs) > 0 && b.size+size > limit {
+		return false
+	}
+	b.tx.Put, b.size = append(b.tx.Put, rows...), b.size+size
 	if !j.stored {
-		size += b.put(TableAccepted, j.spec.ID, j.accepted())
 		b.newJobs = append(b.newJobs, j)
 		j.sentToStore = true
 	}
-	if j.stored && j.hasLongRow() {
-		size += b.put(TableAccepted, j.spec.ID, j.shortAccepted())
-		j.shortRow = true
-	}
-	size += b.put(TableProgress, j.spec.ID, j.storedRecord())
+	j.shortRow = j.shortRow || shorten
 	j.dirty = false
 	b.jobs = append(b.jobs, j)
 	b.states = append(b.states, j.record.State)
 	b.waiters = append(b.waiters, j.waiters)
-	j.waiters = nil
+	b.ends = append(b.ends, j.unstoredEnds)
+	j.waiters, j.unstoredEnds = nil, nil
 	if j.record.Moved != nil {
 		b.moved = append(b.moved, j)
 	}
@@ -223,14 +258,12 @@
 			}
 		}
 	}
-	return size
+	return true
 }
 
-// put adds a row to the batch and returns the size of its value in bytes.
-func (b *batch) put(table, key string, v any) int {
-	value := workload.Encode(v)
-	b.tx.Put = append(b.tx.Put, fleet.Row{Table: table, Key: key, Value: value})
-	return len(value)
+// put adds a row to the batch.
+func (b *batch) put(table, key string, v any) {
+	b.tx.Put = append(b.tx.Put, fleet.Row{Table: table, Key: key, Value: workload.Encode(v)})
 }
 
 // recordPublishedExpiries marks workers whose lease expiries may have been stored in the
@@ -253,14 +286,18 @@
 	return false
 }
 
-// leaseExpiries returns, for each unreachable worker with runs, the time on the store's
-// clock, in milliseconds, when its last lease has expired.
+// leaseExpiries returns, for unreachable workers with runs, the time on the store's clock, in
+// milliseconds, when their last lease has expired. A successor takes the longest possible lease of a
+// worker that is left out.
 func (s *Shard) leaseExpiries() map[string]int64 {
 	var out map[string]int64
 	for id, h := range s.hosts {
 		if h.unreachableSince == 0 || len(h.tasks) == 0 {
 			continue
 		}
+		if len(out) == maxPublishedExpiries {
+			break
+		}
 		if out == nil {
 			out = map[string]int64{}
 		}
@@ -298,6 +335,12 @@
 			return nil
 		}
 		s.cfg.Metrics.CommitFailed(err)
+		if contract.IsMalformed(err) {
+			// The store has not applied an earlier attempt either, as it was the same transaction.
+			s.isolateMalformed(b, err)
+			pause.For(ctx, wait)
+			return context.Cause(ctx)
+		}
 		if contract.OutcomeOf(err) != contract.Refused {
 			mayBeApplied = true
 		}
@@ -382,25 +425,43 @@
 	}
 	newJobs := map[*job]bool{}
 	for _, j := range b.newJobs {
-		j.sentToStore = false
-		if j.inInbox {
-			continue
-		}
-		newJobs[j] = true
-		s.removeUnstored(j)
+		newJobs[j] = !j.inInbox
 	}
 	for i, j := range b.jobs {
+		b.requeue(i)
 		if newJobs[j] {
-			j.waiters = append(j.waiters, b.waiters[i]...)
+			s.removeUnstored(j)
 			j.reply(result.Errorf(result.JobRefused, "the store refused the commit with the job"))
-			continue
 		}
-		j.dirty, j.shortRow = true, false
-		j.waiters = append(j.waiters, b.waiters[i]...)
 	}
 	s.wakeCommitLoop()
 }
 
+// requeue marks the changes of job i, which are not stored, as uncommitted.
+func (b *batch) requeue(i int) {
+	j := b.jobs[i]
+	j.dirty, j.shortRow = true, false
+	j.waiters = append(j.waiters, b.waiters[i]...)
+	for h, e := range b.ends[i] {
+		j.recordUnstoredEnd(h, e)
+	}
+	if !j.stored {
+		j.sentToStore = false
+	}
+}
+
+// recordUnstoredEnd records that a run end has changed j.
+func (j *job) recordUnstoredEnd(h *host, e incarnationEnd) {
+	first, ok := j.unstoredEnds[h]
+	if ok && first.incarnation == e.incarnation && first.number <= e.number {
+		return
+	}
+	if j.unstoredEnds == nil {
+		j.unstoredEnds = map[*host]incarnationEnd{}
+	}
+	j.unstoredEnds[h] = e
+}
+
 // removeUnstored removes a job that was never stored, and its runs, which were never
 // started.
 func (s *Shard) removeUnstored(j *job) {
@@ -435,6 +496,7 @@
 		}
 		s.cfg.Metrics.Committed(s.lastCommit-b.startedAt, len(b.jobs))
 		s.recordStored(b, res.Version)
+		s.growBatches()
 		s.setStoreClockLocked(res.Clock)
 		if s.commitsFailingSince > 0 {
 			logger.WithField("shard", s.cfg.Name).WithField("away", (s.now() - s.commitsFailingSince).String()).Info("commit succeeded after failures")
@@ -442,7 +504,7 @@
 		}
 	}
 	for i, j := range b.jobs {
-		j.stored, j.durableState = true, b.states[i]
+		j.stored, j.durableState, j.holds = true, b.states[i], 0
 		for _, w := range b.waiters[i] {
 			w <- nil
 		}
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -28,6 +28,7 @@
 		return
 	}
 	now := s.now()
+	t.job.recordUnstoredEnd(h, incarnationEnd{h.Incarnation, e.Number})
 	if e.Checkpoint != "" {
 		t.Checkpoint = e.Checkpoint
 	}
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -47,6 +47,7 @@
 		trial[i], origin[&dup] = &dup, sl
 	}
 	var chosen []*slot
+	growth := 0 // of the job's row, in bytes
 	perHost := map[*slot]int{}
 	for _, t := range c.tasks {
 		if t.Phase != workload.Pending {
@@ -56,6 +57,7 @@
 		if sl == nil {
 			return nil
 		}
+		growth += placementBytes + len(sl.host.ID)
 		sl.reserve(t)
 		perHost[sl]++
 		chosen = append(chosen, origin[sl])
@@ -63,6 +65,10 @@
 			trial = slices.DeleteFunc(trial, func(o *slot) bool { return o == sl })
 		}
 	}
+	if !p.s.rowHasRoom(c.job, growth) {
+		c.first().waitReason = waitRow
+		return nil
+	}
 	return chosen
 }
 
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -213,6 +213,7 @@
 	t.startCPULimit, t.startTimedOut, t.settled = 0, false, false
 	t.lendTo, t.drainKept = "", false
 	h.tasks[t.name] = t
+	t.job.rowBytes += placementBytes + len(h.ID)
 	t.job.setRunning()
 	if t.job.begunAt == 0 {
 		t.job.begunAt = now
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -24,31 +24,35 @@
 type job struct {
 	spec             workload.Spec
 	record           workload.Record
-	acceptedAt       fleet.Clock     // on the store's clock
-	observedMillis   []int64         // per step, the milliseconds that an uninterrupted run of a task took; 0 if unknown
-	expectedEnd      time.Duration   // when admission expected it to end, 0 if it did not decide about it
-	due              time.Duration   // by when it had to end to be in time, if expectedEnd is set
-	longestMillis    []int64         // per step, the milliseconds of its longest uninterrupted run; nil if unknown
-	tasks            map[int][]*task // by occurrence; each task embeds its entry of record.Tasks
-	durableState     workload.State  // the last durable state
-	stored           bool            // the accepted row is durable
-	sentToStore      bool            // a commit with the accepted row was sent
-	inInbox          bool            // the job lies in the inbox: it is accepted and must not be dropped
-	movedHere        bool            // it came from another shard and must not be moved again
-	delivering       bool            // it is being delivered to another shard
-	cancelKey        string          // inbox key of a cancellation to forward after the job
-	forwardingCancel bool            // the cancellation is being forwarded
-	lookupInFlight   bool            // the other shard is being asked whether it still has the job
-	dirty            bool            // the progress differs from the stored row
-	storedVersion    int64           // of the progress row that this owner stored last, 0 for none
-	acceptedVersion  int64           // of the accepted row if this owner stored it, or 0
-	shortRow         bool            // the accepted row is stored in its short form, or a commit with that is under way
-	hasRun           bool            // a run has been seen at some time
-	outcomeSeen      bool            // whether it was in time has been counted
-	begunAt          time.Duration   // when its first task was placed here, 0 for never
-	waiters          []chan<- error  // callers that wait for the next commit
-	waitLoggedAt     time.Duration   // when the wait of its tasks was last logged
-	loan             *workload.Loan  // set if the job is a task that another shard has lent to this one
+	acceptedAt       fleet.Clock              // on the store's clock
+	observedMillis   []int64                  // per step, the milliseconds that an uninterrupted run of a task took; 0 if unknown
+	expectedEnd      time.Duration            // when admission expected it to end, 0 if it did not decide about it
+	due              time.Duration            // by when it had to end to be in time, if expectedEnd is set
+	longestMillis    []int64                  // per step, the milliseconds of its longest uninterrupted run; nil if unknown
+	tasks            map[int][]*task          // by occurrence; each task embeds its entry of record.Tasks
+	durableState     workload.State           // the last durable state
+	stored           bool                     // the accepted row is durable
+	sentToStore      bool                     // a commit with the accepted row was sent
+	inInbox          bool                     // the job lies in the inbox: it is accepted and must not be dropped
+	movedHere        bool                     // it came from another shard and must not be moved again
+	delivering       bool                     // it is being delivered to another shard
+	cancelKey        string                   // inbox key of a cancellation to forward after the job
+	forwardingCancel bool                     // the cancellation is being forwarded
+	lookupInFlight   bool                     // the other shard is being asked whether it still has the job
+	dirty            bool                     // the progress differs from the stored row
+	storedVersion    int64                    // of the progress row that this owner stored last, 0 for none
+	acceptedVersion  int64                    // of the accepted row if this owner stored it, or 0
+	shortRow         bool                     // the accepted row is stored in its short form, or a commit with that is under way
+	hasRun           bool                     // a run has been seen at some time
+	outcomeSeen      bool                     // whether it was in time has been counted
+	begunAt          time.Duration            // when its first task was placed here, 0 for never
+	waiters          []chan<- error           // callers that wait for the next commit
+	waitLoggedAt     time.Duration            // when the wait of its tasks was last logged
+	loan             *workload.Loan           // set if the job is a task that another shard has lent to this one
+	rowBytes         int                      // size of the progress row as last encoded, plus an upper bound of its growth since, without checkpoints
+	heldUntil        time.Duration            // not stored before then, as the store has rejected its rows
+	holds            int                      // how often in a row that was so
+	unstoredEnds     map[*host]incarnationEnd // the first run end of each worker that changed it since it was last added to a commit
 }
 
 // task is a task of a job; its stored part is the embedded Progress.
@@ -109,11 +113,10 @@
 	if j.record.Tasks == nil {
 		j.record.Tasks = map[int][]workload.Progress{}
 	}
-	n := 0
-	for i := range j.spec.Steps {
-		n += j.spec.Steps[i].Tasks
-	}
+	n := j.spec.TasksPerOccurrence()
 	j.record.Tasks[k] = make([]workload.Progress, n)
+	j.record.Begun = max(j.record.Begun, k+1)
+	j.rowBytes += occurrenceBytes + n*waitingTaskBytes
 	if j.loan != nil {
 		j.record.Tasks[k][0] = workload.Progress{Run: j.loan.Run, Failures: j.loan.Failures, Checkpoint: j.loan.Checkpoint, Crashes: j.loan.Crashes}
 	}
@@ -241,19 +244,11 @@
 			return
 		}
 	}
-	j.record.Tasks[k] = nil
-	j.tasks[k] = nil
+	delete(j.record.Tasks, k)
+	delete(j.tasks, k)
 }
 
 // complete reports whether all tasks of every occurrence are done.
 func (j *job) complete() bool {
-	if len(j.record.Tasks) < j.spec.Occurrences() {
-		return false
-	}
-	for _, tasks := range j.record.Tasks {
-		if len(tasks) > 0 {
-			return false
-		}
-	}
-	return true
+	return j.record.Begun == j.spec.Occurrences() && len(j.record.Tasks) == 0
 }
--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -226,9 +226,10 @@
 		s.stopForLoan(t, shard, now)
 		return false
 	}
-	if !s.mayLend(t, now) {
+	if !s.mayLend(t, now) || !s.mayPlaceMore(t.job) {
 		return false
 	}
+	t.job.rowBytes += placementBytes + len(shard)
 	t.Phase, t.Run, t.Worker = workload.Lent, t.Run+1, shard
 	t.loan, t.lendTo, t.drainKept = loanState{madeAt: now}, "", false
 	t.job.setRunning()
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -125,6 +125,7 @@
 		return
 	}
 	j.record, j.durableState = record, record.State
+	j.rowBytes = len(r.Value) - checkpointBytes(&record)
 	for k := range j.record.Tasks {
 		j.restoreTasks(k, s.now())
 	}
@@ -149,7 +150,7 @@
 // bindInheritedRuns assigns the placed runs of j to their hosts, which are created if the
 // registry has not listed them yet, and creates the tasks of a job that has none.
 func (s *Shard) bindInheritedRuns(j *job) {
-	if len(j.record.Tasks) == 0 && j.active() && !j.spec.Timed() {
+	if j.record.Begun == 0 && j.active() && !j.spec.Timed() {
 		j.createTasks(0, s.now())
 	}
 	for _, tasks := range j.tasks {
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -15,6 +15,7 @@
 type Metrics struct {
 	scope                                 tally.Scope
 	commits, commitRefused, commitUnknown tally.Counter
+	commitMalformed                       tally.Counter
 	commitTime, startWait                 tally.Histogram
 	batchJobs                             tally.Counter
 	starts, startUnanswered               tally.Counter
@@ -42,6 +43,7 @@
 		commits:          scope.Counter("commits"),
 		commitRefused:    scope.Counter("commits_refused"),
 		commitUnknown:    scope.Counter("commits_unknown"),
+		commitMalformed:  scope.Counter("commits_malformed"),
 		commitTime:       scope.Histogram("commit_seconds", latencies),
 		startWait:        scope.Histogram("start_wait_seconds", latencies),
 		batchJobs:        scope.Counter("commit_jobs"),
@@ -103,6 +105,9 @@
 	m.commitTime.RecordDuration(d)
 }
 
+// CommitMalformed counts a commit that the store rejected as malformed.
+func (m *Metrics) CommitMalformed() { m.commitMalformed.Inc(1) }
+
 // CommitFailed records a failed attempt of a commit: refused, or with an unknown outcome.
 func (m *Metrics) CommitFailed(err error) {
 	if contract.OutcomeOf(err) == contract.Refused {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -264,6 +264,10 @@
 		if t.onProbation() && p.probations >= maxProbations(len(p.slots)) {
 			continue // it is placed once another one has outlived its start
 		}
+		if !p.s.mayPlaceMore(t.job) {
+			t.waitReason = waitRow
+			return
+		}
 		sl := p.bestSlot(t, q, p.slots, "", tickets)
 		if sl == nil {
 			p.handleUnplaced(c, t, q, tickets)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -134,16 +134,17 @@
 	return cfg.QueueByName(j.spec.Queue)
 }
 
-// startDueOccurrences creates the tasks of the occurrences that are due.
+// startDueOccurrences creates the tasks of the occurrences that are due, as far as the job has room for
+// them.
 func (s *Shard) startDueOccurrences(now time.Duration) {
 	for _, j := range s.jobs {
 		if !j.spec.Timed() || !j.active() {
 			continue
 		}
 		unix := s.cfg.WallClock(s.storeNow()).UnixMilli()
-		for k := len(j.record.Tasks); k < j.spec.Occurrences(); k++ {
+		for k := j.record.Begun; k < j.spec.Occurrences() && s.mayBegin(j); k++ {
 			if left := j.spec.DueMillis(k) - unix; left > 0 {
-				s.replanAt(now + time.Duration(left)*time.Millisecond)
+				s.replanAt(now + time.Duration(min(left, maxReplanMillis))*time.Millisecond)
 				break
 			}
 			j.createTasks(k, now)
@@ -151,6 +152,9 @@
 	}
 }
 
+// maxReplanMillis bounds the time to the next plan, which may be centuries by a job's schedule.
+const maxReplanMillis = 3_600_000
+
 // runsToMigrate returns the runs on draining workers that are to continue on other workers of
 // this shard because they lose little by a stop:
 // long-running ones, which are back at work sooner elsewhere, and those with checkpoints.
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -51,6 +51,7 @@
 	EarlyStart     time.Duration // how long before its due time an occurrence may start
 	MaxOverTarget  time.Duration // how long a tail latency may exceed its target
 	Stop           time.Duration // longest time in which a worker stops a run; 0 if unknown
+	RowBytes       int           // largest size of the value of a row, in bytes; 0 if unknown
 }
 
 // Features are the policies that a deployment's settings switch on.
@@ -112,6 +113,8 @@
 	commitsFailingSince  time.Duration // since when commits fail, 0 if they succeed
 	storeLatency         storeLatency
 	commitStartedAt      time.Duration // since when a commit is in flight, 0 for none
+	isolatedBatch        int           // jobs in a batch after the store has rejected a larger one as malformed, 0 for the usual number
+	estimatesHeldUntil   time.Duration // the interference estimates are not stored before then, as the store has rejected them
 	wake                 chan struct{} // wakes the commit loop
 	hostCtx              context.Context
 	hostWG               sync.WaitGroup
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -15,9 +15,10 @@
 	waitNoVictims                   // no stop of runs of lower priority would free enough capacity at an allowed cost
 	waitRelease                     // the runs that it waits for are being stopped
 	waitReserved                    // a worker is reserved for it until short runs there have ended
+	waitRow                         // the row of its job has no room for another run
 )
 
-var waitReasonNames = [...]string{"behind", "no victims", "release", "reserved"}
+var waitReasonNames = [...]string{"behind", "no victims", "release", "reserved", "row"}
 
 func (r waitReason) String() string { return waitReasonNames[r] }
 
--- a/internal/fleetfake/store.go
+++ b/internal/fleetfake/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"slices"
 	"strings"
 	"sync"
@@ -24,6 +25,7 @@
 	RequestLost        // no effect and no response
 	ResponseLost       // takes effect, but without a response
 	Late               // no response; takes effect after LateDelay
+	Malformed          // rejected for what it contains, each time
 )
 
 // LateDelay is the delay after which a call with the fault Late takes effect.
@@ -76,6 +78,11 @@
 	return &contract.CallError{Outcome: contract.Refused, Code: result.PlatformRefused, Detail: "injected fault"}
 }
 
+// malformed is the error of a call that is rejected for what it contains.
+func malformed() error {
+	return &contract.CallError{Outcome: contract.Refused, Code: result.PlatformBadCall, Detail: "malformed"}
+}
+
 // noResponse waits until ctx ends, like a caller that gets no response, and returns an
 // error with the outcome Unknown.
 func noResponse(ctx context.Context) error {
@@ -83,29 +90,35 @@
 	return &contract.CallError{Outcome: contract.Unknown, Code: result.PlatformUnknown, Detail: "no response"}
 }
 
-// Limits of a commit and a row, the same as those of the platform.
+// Limits of a commit, a row and its names, the same as those of the platform.
 const (
-	maxEntries  = 100
-	maxRowBytes = 64 << 10
+	maxEntries   = 100
+	maxRowBytes  = 64 << 10
+	maxNameBytes = 200
+	maxTxBytes   = 1 << 20
 )
 
 // tooLarge reports whether the platform would reject tx as malformed.
 func tooLarge(tx fleet.Tx) bool {
+	size := 0
 	for _, r := range tx.Put {
-		if len(r.Value) > maxRowBytes {
+		if len(r.Value) > maxRowBytes || len(r.Key) > maxNameBytes {
 			return true
 		}
+		size += base64.StdEncoding.EncodedLen(len(r.Value)) + len(r.Table) + len(r.Key) + len(tx.Part)
 	}
-	return len(tx.Expect)+len(tx.Put)+len(tx.Delete) > maxEntries
+	return size > maxTxBytes || len(tx.Expect)+len(tx.Put)+len(tx.Delete) > maxEntries
 }
 
 // Commit implements fleet.Store.
 func (s *Store) Commit(ctx context.Context, tx fleet.Tx) (fleet.TxResult, error) {
 	time.Sleep(storeDelay)
 	if tooLarge(tx) {
-		return fleet.TxResult{}, refused()
+		return fleet.TxResult{}, malformed()
 	}
 	switch s.fault(&tx) {
+	case Malformed:
+		return fleet.TxResult{}, malformed()
 	case Refused:
 		return fleet.TxResult{}, refused()
 	case RequestLost:
--- a/internal/fleetfake/workers.go
+++ b/internal/fleetfake/workers.go
@@ -1,6 +1,7 @@
 package fleetfake
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -81,6 +82,7 @@
 	acknowledged        map[string]int64 // numbers of the acknowledged reports of success, by task
 	starts, renewals    int
 	outOfUse            map[string]time.Time // zones out of use, and since when
+	checkpoint          string               // of every run
 }
 
 // NewWorkers returns workers that register in store.
@@ -363,7 +365,7 @@
 			return fleet.CommandNoCapacity
 		}
 		w.checkStart(fw, start)
-		fw.runs[start.Task] = &run{task: start.Task, number: start.Run, checkpoint: start.Checkpoint, started: time.Now()}
+		fw.runs[start.Task] = &run{task: start.Task, number: start.Run, checkpoint: cmp.Or(w.checkpoint, start.Checkpoint), started: time.Now()}
 		w.crashAfterStart(fw, start.Task)
 		return fleet.CommandAccepted
 	})
@@ -476,6 +478,13 @@
 	w.fails = f
 }
 
+// SetCheckpoint sets the checkpoint that every run reports.
+func (w *Workers) SetCheckpoint(checkpoint string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.checkpoint = checkpoint
+}
+
 // DeliverLateAfterRestart makes late commands, except lease renewals, reach a worker even
 // if it restarted in the meantime. Whether the real platform does so is an open question
 // (docs/QUESTIONS.md).
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -41,6 +41,10 @@
 	if err := spec.Validate(); err != nil {
 		return err
 	}
+	bounds := n.bounds()
+	if err := bounds.CheckSize(&workload.Accepted{Spec: spec}); err != nil {
+		return err
+	}
 	l := n.layout.Load()
 	if l == nil {
 		return result.Errorf(result.NotReady, "the instance is starting")
@@ -51,7 +55,7 @@
 	err := n.retryUntilDone(ctx, n.owners.retryBudget(home), func(ctx context.Context) (bool, error) {
 		err := n.submitOnce(ctx, home, workload.Accepted{Spec: spec})
 		switch result.Of(err) {
-		case result.OK, result.JobBad, result.ZonesOutOfUse, result.JobNoRoom:
+		case result.OK, result.JobBad, result.JobTooLarge, result.ZonesOutOfUse, result.JobNoRoom:
 			return true, err
 		case result.JobRefused:
 			return time.Since(began) > storeRetryBudget, err
@@ -63,7 +67,7 @@
 	})
 	n.metrics.submitted(err, mayBeAccepted)
 	switch {
-	case err == nil, result.Of(err) == result.JobBad:
+	case err == nil, isInvalid(err):
 	case mayBeAccepted:
 		err = result.Wrap(result.OutcomeUnknown, err, "the job may have been accepted")
 	case result.Of(err) == result.JobNoRoom:
@@ -77,6 +81,11 @@
 	return err
 }
 
+// isInvalid reports whether a job is refused for what it contains.
+func isInvalid(err error) bool {
+	return result.Of(err) == result.JobBad || result.Of(err) == result.JobTooLarge
+}
+
 // retryUntilDone calls f until it is done or the budget is used up, and returns the last
 // error.
 func (n *Node) retryUntilDone(ctx context.Context, budget time.Duration, f func(context.Context) (done bool, err error)) error {
@@ -97,7 +106,7 @@
 // inbox if no owner answers.
 func (n *Node) submitOnce(ctx context.Context, home string, a workload.Accepted) error {
 	err := n.submitToOwner(ctx, home, SubmitRequest{Shard: home, Job: a})
-	if err == nil || result.Of(err) == result.JobBad || result.Of(err) == result.ZonesOutOfUse {
+	if err == nil || isInvalid(err) || result.Of(err) == result.ZonesOutOfUse {
 		return err
 	}
 	if code := result.Of(err); code == result.JobRefused || code == result.JobNoRoom || !n.storeOK() {
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -189,20 +189,25 @@
 	}
 }
 
+// bounds returns the limits that the platform sets.
+func (n *Node) bounds() dispatch.Bounds {
+	b := n.settings.Bounds
+	return dispatch.Bounds{
+		LeaseMax: b.LeaseMax.D(), GangWait: b.GangWait.D(), EndedRetention: b.EndedRetention.D(),
+		EarlyStart: b.EarlyStart.D(), MaxOverTarget: b.MaxOverTarget.D(), Stop: b.Stop.D(), RowBytes: b.RowBytes,
+	}
+}
+
 // shardSettings returns the settings of a shard but for its epoch.
 func (o *owners) shardSettings(name string) dispatch.Settings {
 	n := o.node
 	l := n.layout.Load()
-	b := n.settings.Bounds
 	return dispatch.Settings{
-		Name: name,
-		Bounds: dispatch.Bounds{
-			LeaseMax: b.LeaseMax.D(), GangWait: b.GangWait.D(), EndedRetention: b.EndedRetention.D(),
-			EarlyStart: b.EarlyStart.D(), MaxOverTarget: b.MaxOverTarget.D(), Stop: b.Stop.D(),
-		},
+		Name:     name,
+		Bounds:   n.bounds(),
 		Features: n.features(),
 		Store:    n.deps.Store, Workers: n.deps.Workers, Registry: n.deps.Registry, Adviser: n.deps.Adviser,
-		Zones:  dispatch.ZoneSettings{Source: n.deps.Zones, Known: n.settings.Zones, Bound: b.Evacuate.D()},
+		Zones:  dispatch.ZoneSettings{Source: n.deps.Zones, Known: n.settings.Zones, Bound: n.settings.Bounds.Evacuate.D()},
 		Config: n.Config, BelongsToShard: func(w fleet.Worker) bool { return l.ShardOf(w) == name },
 		SteadyClock: bootClock, WallClock: n.wallTime, Metrics: n.dispatchMetrics,
 		OtherShards: o.otherShardsOf(name, l), StoreLink: n.storeLink,
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -63,6 +63,7 @@
 	LoanBad       Code = 1409
 	JobRefused    Code = 1410
 	JobNoRoom     Code = 1411
+	JobTooLarge   Code = 1412
 	QueueUnknown  Code = 1419
 
 	ZoneUnknown    Code = 1450
@@ -159,6 +160,7 @@
 	{LoanBad, "loan-bad", 400, true, "The task that another shard lends is not valid; the task stays with its shard."},
 	{JobRefused, "job-refused", 503, true, "The job was not accepted and never runs; submit it again later."},
 	{JobNoRoom, "job-no-room", 429, true, "The job was not accepted and never runs: it would not end in time, or would keep others from it. Submit it again after the time in the response."},
+	{JobTooLarge, "job-too-large", 413, true, "The job was not accepted and never runs: the platform's store has no room for a row of its size."},
 	{QueueUnknown, "queue-unknown", 404, true, "The configuration in force has no queue of that name."},
 
 	{ZoneUnknown, "zone-unknown", 404, true, "The deployment has no availability zone of this name."},
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -61,14 +61,15 @@
 
 // Bounds are limits of the platform that the node observes.
 type Bounds struct {
-	LeaseMax       job.Duration `json:"lease_max"`   // longest lease that a worker accepts
-	GangWait       job.Duration `json:"gang_wait"`   // how long a gang's members wait for each other
-	EndedRetention job.Duration `json:"keep_ended"`  // how long the state of an ended job stays readable
-	EarlyStart     job.Duration `json:"early_start"` // how long before its scheduled time an occurrence may start
-	MaxOverTarget  job.Duration `json:"impact"`      // how long a tail latency may exceed its target
-	Grace          job.Duration `json:"grace"`       // time between SIGTERM and SIGKILL
-	Stop           job.Duration `json:"stop"`        // longest time in which a worker stops a run; 0 if unknown
-	Evacuate       job.Duration `json:"evacuate"`    // after this time no run may start in a zone taken out of use; 0 if zones are not taken out of use
+	LeaseMax       job.Duration `json:"lease_max"`           // longest lease that a worker accepts
+	GangWait       job.Duration `json:"gang_wait"`           // how long a gang's members wait for each other
+	EndedRetention job.Duration `json:"keep_ended"`          // how long the state of an ended job stays readable
+	EarlyStart     job.Duration `json:"early_start"`         // how long before its scheduled time an occurrence may start
+	MaxOverTarget  job.Duration `json:"impact"`              // how long a tail latency may exceed its target
+	Grace          job.Duration `json:"grace"`               // time between SIGTERM and SIGKILL
+	Stop           job.Duration `json:"stop"`                // longest time in which a worker stops a run; 0 if unknown
+	RowBytes       int          `json:"row_bytes,omitempty"` // largest value of a row of the store, in bytes; 0 if unknown
+	Evacuate       job.Duration `json:"evacuate"`            // after this time no run may start in a zone taken out of use; 0 if zones are not taken out of use
 }
 
 // LoadNode reads and validates the settings of skylark-node. The error joins every
@@ -82,6 +83,9 @@
 // minEvacuate is the time that an instance needs to learn that a zone has been taken out of use.
 const minEvacuate = time.Second
 
+// minRowBytes is the least size of a row, in bytes, that holds the progress of a job.
+const minRowBytes = 16 << 10
+
 func checkNode(s *Node, c *checker) {
 	if s.Instance == "" {
 		c.add(result.SettingsMissing, "instance", "a name")
@@ -116,6 +120,9 @@
 	if s.Bounds.Stop < 0 {
 		c.add(result.SettingsRange, "bounds.stop", "no negative duration")
 	}
+	if n := s.Bounds.RowBytes; n != 0 && n < minRowBytes {
+		c.add(result.SettingsRange, "bounds.row_bytes", "at least 16384, or 0")
+	}
 	if e := s.Bounds.Evacuate.D(); e != 0 && e < minEvacuate {
 		c.add(result.SettingsRange, "bounds.evacuate", "at least 1s, or 0")
 	}
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -48,28 +48,33 @@
 	Confirmed bool `json:"ok,omitempty"`
 }
 
-// Record is the stored row of a job's progress.
+// Record is the stored row of a job's progress. Its size depends on the tasks that have begun and not
+// ended: neither ended occurrences nor tasks that wait for their first run take space in it.
 type Record struct {
-	State State `json:"s"`
-	// Tasks holds the tasks of all steps, in order, per occurrence that has started.
-	// The list is empty for an occurrence whose tasks are all done.
-	Tasks     map[int][]Progress `json:"t,omitempty"`
-	EndMillis int64              `json:"e,omitempty"` // store's clock when the state became final
-	Moved     *Moved             `json:"m,omitempty"`
+	State State
+	// Begun is the number of occurrences that have begun, the first ones of the schedule.
+	Begun int
+	// Tasks holds the tasks of all steps, in order, of each occurrence that has begun and not ended.
+	Tasks     map[int][]Progress
+	EndMillis int64 // store's clock when the state became final
+	Moved     *Moved
 }
 
+// Occurrences returns the number of occurrences that have begun.
+func (r *Record) Occurrences() int { return max(r.Begun, len(r.Tasks)) }
+
 // Validate returns an error with the code JournalCorrupt if the record is none of a job with spec.
 func (r *Record) Validate(spec *Spec) error {
 	if !r.State.Valid() {
 		return result.Errorf(result.JournalCorrupt, "state %q", r.State)
 	}
-	want := 0
-	for i := range spec.Steps {
-		want += spec.Steps[i].Tasks
+	if r.Begun < 0 || r.Begun > spec.Occurrences() {
+		return result.Errorf(result.JournalCorrupt, "%d occurrences have begun, of %d", r.Begun, spec.Occurrences())
 	}
+	want := spec.TasksPerOccurrence()
 	for k, tasks := range r.Tasks {
-		if k < 0 || k >= spec.Occurrences() || len(tasks) != 0 && len(tasks) != want {
-			return result.Errorf(result.JournalCorrupt, "%d tasks in occurrence %d, want %d in each of %d", len(tasks), k, want, spec.Occurrences())
+		if k < 0 || k >= r.Begun || len(tasks) != want {
+			return result.Errorf(result.JournalCorrupt, "%d tasks in occurrence %d, want %d in each of %d", len(tasks), k, want, r.Begun)
 		}
 		for i := range tasks {
 			if tasks[i].Phase > Lent || tasks[i].Run < 0 {
--- a/internal/workload/spec.go
+++ b/internal/workload/spec.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 
@@ -15,6 +16,9 @@
 const (
 	maxSteps = 64  // the largest jobs seen have five steps
 	maxTasks = 600 // a row holds 64 KiB, and a task takes up to 90 bytes
+	// MaxOpenTasks bounds the tasks of the occurrences of a job that have begun and not ended. The owner
+	// holds them in memory, in some hundred bytes each. Later occurrences begin as earlier ones end.
+	MaxOpenTasks = 8 * maxTasks
 )
 
 // Step is a set of identical tasks that may start at the same time.
@@ -71,6 +75,15 @@
 // Occurrences returns how many times the steps run.
 func (s *Spec) Occurrences() int { return max(1, s.Schedule.Times) }
 
+// TasksPerOccurrence returns the number of tasks of all steps.
+func (s *Spec) TasksPerOccurrence() int {
+	n := 0
+	for i := range s.Steps {
+		n += s.Steps[i].Tasks
+	}
+	return n
+}
+
 // Timed reports whether the steps run at fixed times.
 func (s *Spec) Timed() bool { return s.Schedule.Times > 0 }
 
@@ -99,8 +112,8 @@
 	if len(s.Steps) > maxSteps {
 		return result.Errorf(result.JobBad, "%d steps, at most %d", len(s.Steps), maxSteps)
 	}
-	if s.Schedule.Times < 0 || s.Schedule.IntervalMillis < 0 {
-		return result.Errorf(result.JobBad, "the schedule has a negative number of times or interval")
+	if err := s.Schedule.validate(); err != nil {
+		return err
 	}
 	tasks := 0
 	for i := range s.Steps {
@@ -115,6 +128,18 @@
 	return nil
 }
 
+// validate also rejects a schedule whose last time is not representable: occurrences would seem to be
+// due before their time.
+func (s *Schedule) validate() error {
+	if s.Times < 0 || s.IntervalMillis < 0 {
+		return result.Errorf(result.JobBad, "the schedule has a negative number of times or interval")
+	}
+	if s.Times > 0 && s.IntervalMillis > (math.MaxInt64-max(0, s.StartMillis))/int64(s.Times) {
+		return result.Errorf(result.JobBad, "the schedule of %d times every %d ms ends too late", s.Times, s.IntervalMillis)
+	}
+	return nil
+}
+
 func (s *Step) validate(i int) error {
 	if s.Tasks <= 0 {
 		return result.Errorf(result.JobBad, "step %d has no tasks", i)
--- a/internal/workload/spec_test.go
+++ b/internal/workload/spec_test.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"math"
 	"strings"
 	"testing"
 
@@ -28,6 +29,9 @@
 		{"negative need", Spec{Steps: []Step{{Tasks: 1, Needs: resource.Vector{MemoryMB: -1}}}}, "negative amount"},
 		{"negative bound", Spec{Steps: []Step{{Tasks: 1, MaxPerWorker: -1}}}, "negative bound"},
 		{"negative schedule", Spec{Steps: []Step{ok}, Schedule: Schedule{Times: -1}}, "schedule"},
+		{"schedule in the past", Spec{Steps: []Step{ok}, Schedule: Schedule{Times: 3, StartMillis: -5, IntervalMillis: 7}}, ""},
+		{"schedule beyond the last time", Spec{Steps: []Step{ok}, Schedule: Schedule{Times: 3, StartMillis: 1, IntervalMillis: math.MaxInt64 / 2}}, "too late"},
+		{"start beyond the last time", Spec{Steps: []Step{ok}, Schedule: Schedule{Times: 2, StartMillis: math.MaxInt64 - 1, IntervalMillis: 1}}, "too late"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			err := c.spec.Validate()
