dispatch: a list of ends that may be cut off proves no run absent

Cause: a worker lists 500 ends at a time. A confirmed run that was named neither as running nor among these was taken for one that does not exist, and its task was started again before the other ends could be listed.

Change: the adapter marks a report whose list of ends may be cut off, and reconcileRuns concludes nothing from it. The fake worker lists a limited number of ends and reports a task that is started after a success which is acknowledged later, as the users' rule does.

--- a/internal/contract/fleet/worker.go
+++ b/internal/contract/fleet/worker.go
@@ -108,6 +108,8 @@
 	Clock       int64 // worker's clock, milliseconds
 	Running     []RunReport
 	Ended       []EndReport
+	// MoreEnds says that Ended may be cut off: a run that neither Running nor Ended lists may have ended.
+	MoreEnds bool
 	// Refused is set if the worker refused the renewal; Running and Ended are then empty.
 	Refused CommandResult
 }
--- a/internal/dispatch/renewal.go
+++ b/internal/dispatch/renewal.go
@@ -223,7 +223,8 @@
 }
 
 // reconcileRuns compares the runs that the worker reported with those that the shard placed
-// there: it stops unknown runs and returns tasks whose run does not exist to the queue.
+// there: it stops unknown runs and returns tasks whose run does not exist to the queue. A report whose
+// list of ends may be cut off proves of no run that it does not exist.
 func (s *Shard) reconcileRuns(h *host, sent time.Duration, report fleet.LeaseReport) {
 	now := s.now()
 	listed := make(map[string]bool, len(report.Running))
@@ -243,7 +244,7 @@
 			t.stopWanted = true // the start may still arrive: a stop makes the worker reject it
 			s.sendStopIfDue(t, h, now)
 		}
-		if !listed[name] && s.provenAbsent(t, sent) {
+		if !listed[name] && !report.MoreEnds && s.provenAbsent(t, sent) {
 			s.cfg.Metrics.RunMissing()
 			logger.WithField("task", name).WithField("run", t.Run).WithField("worker", h.ID).
 				WithField("stage", int(t.stage)).Info("worker does not report the run")
--- a/internal/fleetfake/workers.go
+++ b/internal/fleetfake/workers.go
@@ -33,6 +33,16 @@
 	stopped    time.Time // time of the stop command; zero for none
 }
 
+// endedRun is the end of a run that has not been acknowledged.
+type endedRun struct {
+	fleet.EndReport
+	leaseExpired bool   // the worker's lease has expired since
+	repeated     string // describes a start of the task since, "" for none
+}
+
+// maxReportedEnds is the number of ended runs that a worker reports at a time.
+const maxReportedEnds = 500
+
 // fakeWorker is a simulated worker.
 type fakeWorker struct {
 	fleet   *Workers
@@ -48,7 +58,7 @@
 	leaseEnd     int64 // end of the lease on the worker's clock; 0 for none
 	runs         map[string]*run
 	highestEnded map[string]int // number of the latest run that was stopped or has ended, by task
-	endReports   []fleet.EndReport
+	endReports   []endedRun
 	lastReport   int64 // number of the last report of an ended run
 	capacity     resource.Vector
 	largest      resource.Vector // capacity that a start may use: the larger one until limitGrace after it shrank
@@ -83,13 +93,14 @@
 	starts, renewals    int
 	outOfUse            map[string]time.Time // zones out of use, and since when
 	checkpoint          string               // of every run
+	maxReported         int                  // ended runs that a worker reports at a time
 }
 
 // NewWorkers returns workers that register in store.
 func NewWorkers(store *Store) *Workers {
 	return &Workers{
 		store: store, byID: map[string]*fakeWorker{}, acknowledged: map[string]int64{}, crashCount: map[string]int{}, crashDelay: DefaultCrashDelay,
-		outOfUse: map[string]time.Time{},
+		outOfUse: map[string]time.Time{}, maxReported: maxReportedEnds,
 		duration: func(string) time.Duration { return 300 * time.Millisecond },
 	}
 }
@@ -251,6 +262,9 @@
 		for _, r := range fw.runs {
 			fw.endRun(r, fleet.EndLeaseExpired)
 		}
+		for i := range fw.endReports {
+			fw.endReports[i].leaseExpired = true
+		}
 	}
 	for _, r := range fw.runs {
 		if !r.stopped.IsZero() && time.Since(r.stopped) >= stopDuration {
@@ -271,7 +285,7 @@
 	delete(fw.runs, r.task)
 	fw.highestEnded[r.task] = max(fw.highestEnded[r.task], r.number)
 	fw.lastReport++
-	fw.endReports = append(fw.endReports, fleet.EndReport{Number: fw.lastReport, Task: r.task, Run: r.number, Kind: kind, Checkpoint: r.checkpoint})
+	fw.endReports = append(fw.endReports, endedRun{EndReport: fleet.EndReport{Number: fw.lastReport, Task: r.task, Run: r.number, Kind: kind, Checkpoint: r.checkpoint}})
 }
 
 // command executes f on a worker under the fault of the call. Late commands are lost if the
@@ -372,7 +386,7 @@
 }
 
 // checkStart records a violation if the task's success was acknowledged or the task already
-// runs on a worker.
+// runs on a worker, and prepares one in case its success is acknowledged later.
 func (w *Workers) checkStart(to *fakeWorker, s fleet.Start) {
 	w.starts++
 	if report, ok := w.acknowledged[s.Task]; ok {
@@ -383,6 +397,11 @@
 		if r := fw.runs[s.Task]; r != nil && !fw.dead {
 			w.violations = append(w.violations, fmt.Sprintf("%s run %d on %s while run %d is on %s", s.Task, s.Run, to.id, r.number, fw.id))
 		}
+		for i := range fw.endReports {
+			if e := &fw.endReports[i]; e.Task == s.Task && e.Kind == fleet.EndDone {
+				e.repeated = fmt.Sprintf("%s run %d started after run %d had succeeded on %s", s.Task, s.Run, e.Run, fw.id)
+			}
+		}
 	}
 }
 
@@ -453,9 +472,15 @@
 		if e.Kind == fleet.EndDone && fw.clock() <= fw.leaseEnd {
 			fw.fleet.acknowledged[e.Task] = e.Number
 		}
+		if e.repeated != "" && !e.leaseExpired {
+			fw.fleet.violations = append(fw.fleet.violations, e.repeated)
+		}
 	}
 	fw.endReports = unacked
-	out.Ended = append(out.Ended, unacked...)
+	for _, e := range unacked[:min(len(unacked), fw.fleet.maxReported)] {
+		out.Ended = append(out.Ended, e.EndReport)
+	}
+	out.MoreEnds = len(out.Ended) == fw.fleet.maxReported
 	for _, r := range fw.runs {
 		progress := float64(time.Since(r.started)) / float64(fw.fleet.duration(r.task))
 		out.Running = append(out.Running, fleet.RunReport{Task: r.task, Run: r.number, ProgressPercent: min(99, int(100*progress)), Checkpoint: r.checkpoint})
@@ -478,6 +503,13 @@
 	w.fails = f
 }
 
+// SetMaxReported sets how many ended runs a worker reports at a time.
+func (w *Workers) SetMaxReported(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.maxReported = n
+}
+
 // SetCheckpoint sets the checkpoint that every run reports.
 func (w *Workers) SetCheckpoint(checkpoint string) {
 	w.mu.Lock()
