dispatch: an attempt is a run, by its number

Cause: each member's end "failed" was counted as an attempt of the gang, so that one run counted as often as the gang had members on the bad worker.

Change: failures are counted by run number, stored for a gang on its first member. So a failure counts once if several members, or two owners, report it, and also if it is reported after a later run was placed (it did not count, and one start too many followed); then the later run goes on and none follows the last attempt. The whole gang avoids a worker on which a member has failed, also under a new owner. The quarantine of workers goes by the gang's attempts. A start that a worker rejects for its content makes the task prefer others.

--- a/internal/dispatch/backfill.go
+++ b/internal/dispatch/backfill.go
@@ -26,7 +26,7 @@
 	var found *slot
 	maxMargin := 0.0
 	for _, sl := range p.slots {
-		if !canPlace(t, q, sl) || sl.host.ID == t.avoidWorker {
+		if !canPlace(t, q, sl) || t.avoids(sl.host.ID) {
 			continue
 		}
 		margin := 2 + p.maxBackfillShare(t, sl)/cpuShare(t, sl.host) - p.s.maxAddedUtilisation(t, sl.host)
--- a/internal/dispatch/commands.go
+++ b/internal/dispatch/commands.go
@@ -118,8 +118,11 @@
 	if err != nil || r == fleet.CommandNoCapacity || r == fleet.CommandUnavailable {
 		h.busyUntil = now + rejectionBackoff
 	}
-	if r == fleet.CommandNoTicket {
+	switch r {
+	case fleet.CommandNoTicket:
 		s.dropApproval(t)
+	case fleet.CommandStale, fleet.CommandLeaseExpired, fleet.CommandInvalid:
+		t.avoid(h.ID) // it would reject the next start as well
 	}
 	if err != nil {
 		h.markUnreachable(now, false)
@@ -218,7 +221,8 @@
 		return
 	}
 	logger.WithField("task", t.name).WithField("run", t.Run).WithField("worker", h.ID).WithField("percent", t.percent).Info("run makes no progress")
-	t.stopWanted, t.avoidWorker = true, h.ID
+	t.stopWanted = true
+	t.avoid(h.ID)
 	if h.lastFailedJob != t.job.spec.ID {
 		h.lastFailedJob = t.job.spec.ID
 		s.recordWorkerFailure(h, now, "runs without progress")
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -97,6 +97,7 @@
 			s.countCrash(t, h, h.replaced)
 		}
 		s.returnToPending(t, since)
+		s.failIfExhausted(t)
 		lost = true
 	}
 	return lost
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -25,6 +25,9 @@
 	}
 	if t == nil || t.Phase == workload.Done || t.Run != e.Run && !t.acceptsLateSuccess(e) {
 		s.removeRun(h, e)
+		if t != nil && e.Kind == fleet.EndFailed && e.Run < t.Run {
+			s.recordLateFailure(t, h, e)
+		}
 		return
 	}
 	now := s.now()
@@ -48,9 +51,12 @@
 			s.completeTask(t)
 		}
 	case fleet.EndFailed:
-		if wasPlaced {
-			s.recordTaskFailure(t, h, now)
+		if wasPlaced || t.attempts().ListsFailures() {
+			s.recordTaskFailure(t, h, e.Run, now)
 		}
+		fallthrough
+	default:
+		s.failIfExhausted(t)
 	}
 }
 
@@ -108,33 +114,6 @@
 	}
 }
 
-// recordTaskFailure counts a failed attempt of t and fails the job after the last one.
-// Failures of a gang are counted on its first member; a long-running task may fail any
-// number of times.
-func (s *Shard) recordTaskFailure(t *task, h *host, now time.Duration) {
-	t.avoidWorker = h.ID
-	// A long-running task restarts at once, before others take the capacity it left.
-	if !t.step.LongRunning {
-		t.notBefore = now + failureBackoff
-	}
-	first := t
-	if t.step.Gang {
-		first = t.job.stepTasks(t.id.Occurrence, t.id.Step)[0]
-	}
-	first.Failures++
-	if t.step.LongRunning || t.job.record.State.Final() {
-		return
-	}
-	if first.Failures < s.maxAttempts(t.job) {
-		return
-	}
-	if t.job.loan != nil {
-		t.job.returnLoan() // the lender fails the job
-		return
-	}
-	s.finishJob(t.job, workload.Failed)
-}
-
 // maxAttempts is the number of failures of a task after which its job fails.
 func (s *Shard) maxAttempts(j *job) int {
 	if q := s.queueByName(j.spec.Queue); q != nil && q.Attempts > 0 {
@@ -162,7 +141,7 @@
 	case fleet.EndDone:
 		h.failureStreak, h.quarantineCount, h.lastFailedJob = 0, 0, ""
 	case fleet.EndFailed:
-		if h.lastFailedJob == t.job.spec.ID || t.Failures > 0 {
+		if h.lastFailedJob == t.job.spec.ID || t.attempts().FailedBefore(t.Run) {
 			return
 		}
 		h.lastFailedJob = t.job.spec.ID
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -85,7 +85,7 @@
 	loadError       float64       // by how much its utilisation was last above the expected one
 	throttledAt     time.Duration // when the CPU limit was last changed
 	startCPULimit   int           // CPU limit to apply after the start, in percent; 0 for none
-	avoidWorker     string        // worker on which the last run failed
+	failedOn        []string      // workers on which runs of the task or its gang failed lately
 	certainCrashes  int           // workers that were lost right after this owner had seen them start it, apart from others
 	lostAt          string        // address of the worker with which the last run was lost
 	lostInRack      string        // rack in which the last run was lost with its worker
@@ -118,7 +118,7 @@
 	j.record.Begun = max(j.record.Begun, k+1)
 	j.rowBytes += occurrenceBytes + n*waitingTaskBytes
 	if j.loan != nil {
-		j.record.Tasks[k][0] = workload.Progress{Run: j.loan.Run, Failures: j.loan.Failures, Checkpoint: j.loan.Checkpoint, Crashes: j.loan.Crashes}
+		j.record.Tasks[k][0] = workload.Progress{Run: j.loan.Run, Failures: j.loan.Failures, FailedRuns: slices.Clone(j.loan.FailedRuns), Checkpoint: j.loan.Checkpoint, Crashes: j.loan.Crashes}
 	}
 	j.restoreTasks(k, now)
 	j.dirty = true
@@ -148,6 +148,11 @@
 		}
 	}
 	j.tasks[k] = tasks
+	for _, t := range tasks {
+		if worker := t.attempts().FailedOn; worker != "" {
+			t.avoid(worker)
+		}
+	}
 }
 
 // findTask returns the task with that id, or nil.
--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -205,7 +205,7 @@
 
 // newLoan returns the job that a borrower stores for t.
 func (t *task) newLoan(lender string) workload.Accepted {
-	loan := &workload.Loan{Task: t.name, Lender: lender, Run: t.Run + 1, Failures: t.Failures, Checkpoint: t.Checkpoint, Crashes: t.Crashes}
+	loan := &workload.Loan{Task: t.name, Lender: lender, Run: t.Run + 1, Failures: t.Failures, FailedRuns: slices.Clone(t.FailedRuns), Checkpoint: t.Checkpoint, Crashes: t.Crashes}
 	if t.Phase == workload.Lent {
 		loan.Run = t.Run
 	}
@@ -394,7 +394,8 @@
 	if !slices.Contains(t.refusedBy, t.Worker) {
 		t.refusedBy = append(t.refusedBy, t.Worker)
 	}
-	t.Run, t.Failures, t.Checkpoint, t.Crashes = max(t.Run, p.Run), max(t.Failures, p.Failures), p.Checkpoint, p.Crashes
+	t.Run, t.Checkpoint, t.Crashes = max(t.Run, p.Run), p.Checkpoint, p.Crashes
+	t.MergeFailures(p)
 	s.endLoan(t, s.now()-lendAfter)
 	if s.settleReturned(t, p) {
 		return
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -145,9 +145,9 @@
 	return 4
 }
 
-// failedWorkerCost avoids the worker on which the last run of the task failed.
+// failedWorkerCost avoids the workers on which runs of the task or its gang failed.
 func failedWorkerCost(t *task, sl *slot, _ *planPass) float64 {
-	if t.avoidWorker != sl.host.ID {
+	if !t.avoids(sl.host.ID) {
 		return 0
 	}
 	return 3
@@ -290,7 +290,7 @@
 // priority may be stopped.
 func (p *planPass) handleUnplaced(c *candidate, t *task, q *fleet.Queue, tickets map[string]string) {
 	if t.step.Backfill {
-		if t.avoidWorker == "" && !t.onProbation() {
+		if len(t.failedOn) == 0 && !t.onProbation() {
 			p.unplaceable[t.step.Image] = t.step.Needs
 		}
 		p.placeWithCPULimit(t, q)
--- a/internal/dispatch/renewal.go
+++ b/internal/dispatch/renewal.go
@@ -252,6 +252,7 @@
 				s.countCrash(t, h, true)
 			}
 			s.returnToPending(t, now)
+			s.failIfExhausted(t)
 			s.wakeCommitLoop()
 		}
 	}
@@ -317,6 +318,7 @@
 		now = t.pendingSince
 	}
 	s.returnToPending(t, now)
+	s.failIfExhausted(t)
 }
 
 // returnToPending makes t pending again, once its run is known not to exist. Its wait counts
--- a/internal/dispatch/zone_lend.go
+++ b/internal/dispatch/zone_lend.go
@@ -80,11 +80,9 @@
 		s.completeTask(t)
 		return true
 	}
-	if t.Failures < s.maxAttempts(t.job) || t.job.record.State.Final() {
-		return false
-	}
-	s.finishJob(t.job, workload.Failed)
-	return true
+	ended := t.job.record.State.Final()
+	s.failIfExhausted(t)
+	return t.job.record.State.Final() && !ended
 }
 
 // lendingPriority returns the priority of the job's queue in a closed shard, and 0 in others.
--- a/internal/fleetfake/crash.go
+++ b/internal/fleetfake/crash.go
@@ -51,6 +51,21 @@
 	}
 }
 
+// breakGang ends the other runs of the gang of r, which has ended. The caller holds the lock.
+func (w *Workers) breakGang(r *run) {
+	if w.gang == nil || w.gang(r.task) == "" {
+		return
+	}
+	gang := w.gang(r.task)
+	for _, o := range w.byID {
+		for _, other := range o.runs {
+			if other.number == r.number && w.gang(other.task) == gang {
+				o.endRun(other, fleet.EndGangBroken)
+			}
+		}
+	}
+}
+
 // SetCrashDelay sets the time from the start of a run that crashes its worker to the crash.
 func (w *Workers) SetCrashDelay(d time.Duration) {
 	w.mu.Lock()
--- a/internal/fleetfake/workers.go
+++ b/internal/fleetfake/workers.go
@@ -68,8 +68,12 @@
 	unreachable  bool
 	partitioned  bool    // unreachable, and not registered
 	slowdown     float64 // factor on the duration of runs
+	failing      bool    // every run fails failTime after its start
 }
 
+// failTime is the time from the start of a run on a failing worker to its end.
+const failTime = 50 * time.Millisecond
+
 // Workers simulates all workers. It implements fleet.Workers and fleet.Registry, and
 // records violations of the rules that a task never runs twice at the same time or again
 // after its acknowledged success, and that no start is sent to a zone out of use.
@@ -271,6 +275,10 @@
 			fw.endRun(r, fleet.EndStopped)
 			continue
 		}
+		if fw.failing && r.stopped.IsZero() && time.Since(r.started) >= failTime {
+			fw.endRun(r, fleet.EndFailed)
+			continue
+		}
 		if r.stopped.IsZero() && time.Since(r.started) >= time.Duration(float64(fw.fleet.duration(r.task))*fw.slowdown) {
 			kind := fleet.EndDone
 			if fw.fleet.fails != nil && fw.fleet.fails(r.task, r.number) {
@@ -286,6 +294,9 @@
 	fw.highestEnded[r.task] = max(fw.highestEnded[r.task], r.number)
 	fw.lastReport++
 	fw.endReports = append(fw.endReports, endedRun{EndReport: fleet.EndReport{Number: fw.lastReport, Task: r.task, Run: r.number, Kind: kind, Checkpoint: r.checkpoint}})
+	if kind == fleet.EndFailed || kind == fleet.EndStopped || kind == fleet.EndLeaseExpired {
+		fw.fleet.breakGang(r)
+	}
 }
 
 // command executes f on a worker under the fault of the call. Late commands are lost if the
@@ -503,6 +514,14 @@
 	w.fails = f
 }
 
+// SetFailing makes a worker fail all its runs soon after their start, or ends that.
+func (w *Workers) SetFailing(id string, failing bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.byID[id].advance()
+	w.byID[id].failing = failing
+}
+
 // SetMaxReported sets how many ended runs a worker reports at a time.
 func (w *Workers) SetMaxReported(n int) {
 	w.mu.Lock()
--- a/internal/workload/loan.go
+++ b/internal/workload/loan.go
@@ -10,11 +10,12 @@
 // stores it as a job of that task alone. Until the borrower has returned it, only the
 // borrower may start runs of the task.
 type Loan struct {
-	Task       string `json:"task"`        // the task's name in commands to workers
-	Lender     string `json:"lender"`      // the shard that has the task's job
-	Run        int    `json:"run"`         // number of this loan; the borrower's runs have higher numbers
-	Failures   int    `json:"f,omitempty"` // number of earlier runs that failed
-	Checkpoint string `json:"c,omitempty"` // latest checkpoint
+	Task       string `json:"task"`         // the task's name in commands to workers
+	Lender     string `json:"lender"`       // the shard that has the task's job
+	Run        int    `json:"run"`          // number of this loan; the borrower's runs have higher numbers
+	Failures   int    `json:"f,omitempty"`  // number of earlier runs that failed
+	FailedRuns []int  `json:"fr,omitempty"` // as in Progress
+	Checkpoint string `json:"c,omitempty"`  // latest checkpoint
 	Crashes           // of the task's workers before the loan
 	// Cancelled says that the task's job has been cancelled. The borrower stores the loan, so that no
 	// earlier call can, and starts no run.
--- a/internal/workload/record_encoding.go
+++ b/internal/workload/record_encoding.go
@@ -61,7 +61,7 @@
 		if p.Phase == Done {
 			p = Progress{Phase: Done}
 		}
-		if n := len(out); n > 0 && out[n-1].Progress == p {
+		if n := len(out); n > 0 && out[n-1].Progress.equal(&p) {
 			out[n-1].More++
 			continue
 		}
--- a/internal/workload/task.go
+++ b/internal/workload/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -59,10 +60,57 @@
 // Progress is the stored state of one task.
 type Progress struct {
 	Phase       Phase  `json:"p,omitempty"`
-	Run         int    `json:"r,omitempty"` // number of the latest run, counted from 1, or of the loan while Lent
-	Failures    int    `json:"f,omitempty"` // number of runs that failed
-	Worker      string `json:"w,omitempty"` // id of the worker while Placed, the borrower's shard while Lent
-	Incarnation int64  `json:"l,omitempty"` // start time of the worker's process in Unix milliseconds
-	Checkpoint  string `json:"c,omitempty"` // latest checkpoint
+	Run         int    `json:"r,omitempty"`  // number of the latest run, counted from 1, or of the loan while Lent
+	Failures    int    `json:"f,omitempty"`  // number of runs that failed; of a gang, on its first member
+	FailedRuns  []int  `json:"fr,omitempty"` // numbers of these runs, the newest ones, if the task ends by itself
+	FailedOn    string `json:"fo,omitempty"` // worker of the last of these runs
+	Worker      string `json:"w,omitempty"`  // id of the worker while Placed, the borrower's shard while Lent
+	Incarnation int64  `json:"l,omitempty"`  // start time of the worker's process in Unix milliseconds
+	Checkpoint  string `json:"c,omitempty"`  // latest checkpoint
 	Crashes
 }
+
+// maxFailedRuns bounds FailedRuns. Configurations allow fewer attempts than that.
+const maxFailedRuns = 16
+
+// CountFailure counts the failure of a run and reports whether it was not counted before. The end of one
+// run may be reported by several members of a gang, again to another owner, or after a later run has
+// begun.
+func (p *Progress) CountFailure(run int) bool {
+	if slices.Contains(p.FailedRuns, run) {
+		return false
+	}
+	p.Failures++
+	p.FailedRuns = append(p.FailedRuns, run)
+	if n := len(p.FailedRuns) - maxFailedRuns; n > 0 {
+		p.FailedRuns = slices.Delete(p.FailedRuns, 0, n)
+	}
+	return true
+}
+
+// ListsFailures reports whether FailedRuns names the counted runs. An earlier version has only counted
+// them.
+func (p *Progress) ListsFailures() bool { return len(p.FailedRuns) >= min(p.Failures, maxFailedRuns) }
+
+// MergeFailures adds the failures that o counts and p does not.
+func (p *Progress) MergeFailures(o *Progress) {
+	for _, run := range o.FailedRuns {
+		p.CountFailure(run)
+	}
+	p.Failures = max(p.Failures, o.Failures)
+}
+
+// FailedBefore reports whether a run other than the given one has failed.
+func (p *Progress) FailedBefore(run int) bool {
+	n := p.Failures
+	if slices.Contains(p.FailedRuns, run) {
+		n--
+	}
+	return n > 0
+}
+
+// equal reports whether p and o are the same.
+func (p *Progress) equal(o *Progress) bool {
+	return p.Phase == o.Phase && p.Run == o.Run && p.Failures == o.Failures && slices.Equal(p.FailedRuns, o.FailedRuns) && p.FailedOn == o.FailedOn &&
+		p.Worker == o.Worker && p.Incarnation == o.Incarnation && p.Checkpoint == o.Checkpoint && p.Crashes == o.Crashes
+}
