dispatch: the adviser is asked about every worker before any is asked about again

Cause: a call named the first 30 suitable workers by id, and a denial was not kept, so that the next call named the same ones.

Change: each step keeps a verdict for each worker, as long as the step lasts. Approved workers with room and an expired ticket come first, then those that were not asked about, by earlier answers for the queue. Calls are two at a time, sized by the declared times, and time out by them; they shrink and wait longer after failures. Tasks on draining workers move to approved ones only. Where all workers of a shard are denied, tasks are lent to other shards. Throttled starts carry a ticket.

--- a/internal/contract/fleet/config.go
+++ b/internal/contract/fleet/config.go
@@ -16,9 +16,11 @@
 	Advice   *AdvicePolicy // nil if any worker may run the tasks
 }
 
-// AdvicePolicy sets how long an Adviser's approval stays valid.
+// AdvicePolicy says how long an Adviser takes, and how long its approval stays valid.
 type AdvicePolicy struct {
-	Validity time.Duration
+	Decision  time.Duration // of a call, beside PerWorker
+	PerWorker time.Duration // for each worker that a call names
+	Validity  time.Duration
 }
 
 // Service is a pool of workers that run the tasks of some queues.
--- a/internal/dispatch/backfill.go
+++ b/internal/dispatch/backfill.go
@@ -19,14 +19,14 @@
 // placeWithCPULimit places one run with a CPU limit for a job that has had no run for
 // throttledStartAfter, on the host where it disturbs services least. It slows the services
 // by more than the run gains, so it is done only while less than half of the CPU is committed.
-func (p *planPass) placeWithCPULimit(t *task, q *fleet.Queue) {
+func (p *planPass) placeWithCPULimit(t *task, q *fleet.Queue, tickets map[string]string) {
 	if p.lowInterferenceOnly || p.now-t.pendingSince < throttledStartAfter || p.halfReserved || t.job.placed() > 0 || !p.s.mayPlaceMore(t.job) {
 		return
 	}
 	var found *slot
 	maxMargin := 0.0
 	for _, sl := range p.slots {
-		if !canPlace(t, q, sl) || t.avoids(sl.host.ID) {
+		if !canPlace(t, q, sl) || t.avoids(sl.host.ID) || tickets != nil && tickets[sl.host.ID] == "" {
 			continue
 		}
 		margin := 2 + p.maxBackfillShare(t, sl)/cpuShare(t, sl.host) - p.s.maxAddedUtilisation(t, sl.host)
@@ -38,6 +38,7 @@
 		return
 	}
 	limit := int(100 * p.maxBackfillShare(t, found) / cpuShare(t, found.host))
+	t.ticket = tickets[found.host.ID]
 	found.reserve(t)
 	found.host.place(t, p.now)
 	t.startCPULimit = min(100, max(minCPULimit, limit))
--- a/internal/dispatch/commands.go
+++ b/internal/dispatch/commands.go
@@ -120,7 +120,7 @@
 	}
 	switch r {
 	case fleet.CommandNoTicket:
-		s.dropApproval(t)
+		s.rejectTicket(t, h, now)
 	case fleet.CommandStale, fleet.CommandLeaseExpired, fleet.CommandInvalid:
 		t.avoid(h.ID) // it would reject the next start as well
 	}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -42,6 +42,8 @@
 	quarantinedUntil time.Duration        // quarantined until then
 	coldUntil        time.Duration        // slow after its start until then
 	quarantineCount  int                  // quarantines since the last success
+	askedAbout       time.Duration        // when the adviser was last asked about it
+	approvalShares   map[string]float64   // by queue: the share of the recent steps for which the adviser approved it
 	ended            []endedRun           // backfill runs that ended here lately
 	relievedAt       time.Duration        // when backfill runs were last throttled, stopped or sped up for its services
 }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -24,30 +25,31 @@
 type job struct {
 	spec             workload.Spec
 	record           workload.Record
-	acceptedAt       fleet.Clock              // on the store's clock
-	observedMillis   []int64                  // per step, the milliseconds that an uninterrupted run of a task took; 0 if unknown
-	expectedEnd      time.Duration            // when admission expected it to end, 0 if it did not decide about it
-	due              time.Duration            // by when it had to end to be in time, if expectedEnd is set
-	longestMillis    []int64                  // per step, the milliseconds of its longest uninterrupted run; nil if unknown
-	tasks            map[int][]*task          // by occurrence; each task embeds its entry of record.Tasks
-	durableState     workload.State           // the last durable state
-	stored           bool                     // the accepted row is durable
-	sentToStore      bool                     // a commit with the accepted row was sent
-	inInbox          bool                     // the job lies in the inbox: it is accepted and must not be dropped
-	movedHere        bool                     // it came from another shard and must not be moved again
-	delivering       bool                     // it is being delivered to another shard
-	cancelKey        string                   // inbox key of a cancellation to forward after the job
-	forwardingCancel bool                     // the cancellation is being forwarded
-	lookupInFlight   bool                     // the other shard is being asked whether it still has the job
-	dirty            bool                     // the progress differs from the stored row
-	storedVersion    int64                    // of the progress row that this owner stored last, 0 for none
-	acceptedVersion  int64                    // of the accepted row if this owner stored it, or 0
-	shortRow         bool                     // the accepted row is stored in its short form, or a commit with that is under way
-	hasRun           bool                     // a run has been seen at some time
-	outcomeSeen      bool                     // whether it was in time has been counted
-	begunAt          time.Duration            // when its first task was placed here, 0 for never
-	waiters          []chan<- error           // callers that wait for the next commit
-	waitLoggedAt     time.Duration            // when the wait of its tasks was last logged
+	acceptedAt       fleet.Clock     // on the store's clock
+	observedMillis   []int64         // per step, the milliseconds that an uninterrupted run of a task took; 0 if unknown
+	expectedEnd      time.Duration   // when admission expected it to end, 0 if it did not decide about it
+	due              time.Duration   // by when it had to end to be in time, if expectedEnd is set
+	longestMillis    []int64         // per step, the milliseconds of its longest uninterrupted run; nil if unknown
+	tasks            map[int][]*task // by occurrence; each task embeds its entry of record.Tasks
+	durableState     workload.State  // the last durable state
+	stored           bool            // the accepted row is durable
+	sentToStore      bool            // a commit with the accepted row was sent
+	inInbox          bool            // the job lies in the inbox: it is accepted and must not be dropped
+	movedHere        bool            // it came from another shard and must not be moved again
+	delivering       bool            // it is being delivered to another shard
+	cancelKey        string          // inbox key of a cancellation to forward after the job
+	forwardingCancel bool            // the cancellation is being forwarded
+	lookupInFlight   bool            // the other shard is being asked whether it still has the job
+	dirty            bool            // the progress differs from the stored row
+	storedVersion    int64           // of the progress row that this owner stored last, 0 for none
+	acceptedVersion  int64           // of the accepted row if this owner stored it, or 0
+	shortRow         bool            // the accepted row is stored in its short form, or a commit with that is under way
+	hasRun           bool            // a run has been seen at some time
+	outcomeSeen      bool            // whether it was in time has been counted
+	begunAt          time.Duration   // when its first task was placed here, 0 for never
+	waiters          []chan<- error  // callers that wait for the next commit
+	waitLoggedAt     time.Duration   // when the wait of its tasks was last logged
+	advice           map[stepKey]*advice
 	loan             *workload.Loan           // set if the job is a task that another shard has lent to this one
 	rowBytes         int                      // size of the progress row as last encoded, plus an upper bound of its growth since, without checkpoints
 	heldUntil        time.Duration            // not stored before then, as the store has rejected its rows
@@ -251,6 +253,7 @@
 	}
 	delete(j.record.Tasks, k)
 	delete(j.tasks, k)
+	maps.DeleteFunc(j.advice, func(key stepKey, _ *advice) bool { return key.occurrence == k })
 }
 
 // complete reports whether all tasks of every occurrence are done.
--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -172,7 +172,10 @@
 	if t.Phase != workload.Pending || t.lendTo == "" && (now-t.pendingSince < delay || now < t.lendAt) {
 		return false
 	}
-	return t.lendable() || (closed || s.stranded(t.job, now)) && s.lendableFromClosed(t, now)
+	if t.lendable() || t.mayRunElsewhere() && s.adviceExhausted(t) {
+		return true
+	}
+	return (closed || s.stranded(t.job, now)) && s.lendableFromClosed(t, now)
 }
 
 // mayLeave reports whether the run of t may be stopped for a loan: its worker drains, no other
@@ -195,9 +198,12 @@
 
 // lendable reports whether t is a long-running task of a job that cannot move as a whole. A new
 // owner knows of the runs before it only by their numbers.
-func (t *task) lendable() bool {
+func (t *task) lendable() bool { return t.mayRunElsewhere() && (t.job.started() || t.job.movedHere) }
+
+// mayRunElsewhere reports whether t is a long-running task that works alone.
+func (t *task) mayRunElsewhere() bool {
 	j := t.job
-	return t.step.LongRunning && !t.step.Gang && j.stored && j.active() && j.loan == nil && !j.spec.Timed() && (j.started() || j.movedHere)
+	return t.step.LongRunning && !t.step.Gang && j.stored && j.active() && j.loan == nil && !j.spec.Timed()
 }
 
 // returnable reports whether t is a borrowed task that this shard may still run.
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -16,6 +16,7 @@
 	scope                                 tally.Scope
 	commits, commitRefused, commitUnknown tally.Counter
 	commitMalformed                       tally.Counter
+	adviceFailed, advised, approved       tally.Counter
 	commitTime, startWait                 tally.Histogram
 	batchJobs                             tally.Counter
 	starts, startUnanswered               tally.Counter
@@ -44,6 +45,9 @@
 		commitRefused:    scope.Counter("commits_refused"),
 		commitUnknown:    scope.Counter("commits_unknown"),
 		commitMalformed:  scope.Counter("commits_malformed"),
+		adviceFailed:     scope.Counter("advice_failed"),
+		advised:          scope.Counter("advice_workers_asked"),
+		approved:         scope.Counter("advice_workers_approved"),
 		commitTime:       scope.Histogram("commit_seconds", latencies),
 		startWait:        scope.Histogram("start_wait_seconds", latencies),
 		batchJobs:        scope.Counter("commit_jobs"),
@@ -105,6 +109,15 @@
 	m.commitTime.RecordDuration(d)
 }
 
+// AdviceFailed counts a call to the adviser without an answer.
+func (m *Metrics) AdviceFailed() { m.adviceFailed.Inc(1) }
+
+// Advised counts the workers that the adviser was asked about, and those that it approved.
+func (m *Metrics) Advised(asked, approved int) {
+	m.advised.Inc(int64(asked))
+	m.approved.Inc(int64(approved))
+}
+
 // CommitMalformed counts a commit that the store rejected as malformed.
 func (m *Metrics) CommitMalformed() { m.commitMalformed.Inc(1) }
 
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -84,7 +84,7 @@
 
 // filters must all pass. They ignore the capacity in use, which capacityFits checks after
 // them.
-var filters = []filter{serviceFits, labelFits, spreadFits, probationFits}
+var filters = []filter{serviceFits, labelFits, spreadFits, probationFits, adviceAllows}
 
 // serviceFits requires a worker of the queue's service.
 func serviceFits(_ *task, q *fleet.Queue, sl *slot) bool {
@@ -236,22 +236,28 @@
 	return p
 }
 
-// placeCandidate places the tasks of c, or stops runs of lower priority for them, or leaves
-// them waiting. Where the queue requires approved workers, it waits for the approval.
+// placeCandidate places the tasks of c, or leaves them waiting. Where the queue requires approved
+// workers, it seeks the adviser's approval of further ones for those that wait.
 func (p *planPass) placeCandidate(c *candidate, q *fleet.Queue) {
-	var tickets map[string]string
-	if q.Advice != nil && p.s.cfg.Adviser != nil {
-		var ok bool
-		if tickets, ok = p.s.tickets(c.first(), q, p.slots, p.now); !ok {
-			return
-		}
+	p.placeTasks(c, q, p.s.tickets(c.first(), q, p.now))
+	if !p.s.isAdvised(q) || p.lowInterferenceOnly && c.step().Backfill {
+		return
 	}
+	waits := slices.IndexFunc(c.tasks, func(t *task) bool { return t.Phase == workload.Pending })
+	if waits >= 0 {
+		p.s.seekAdvice(c.tasks[waits], q, p.slots, p.now)
+	}
+}
+
+// placeTasks places the tasks of c, on workers with a ticket if tickets are needed, or stops runs of lower
+// priority for them.
+func (p *planPass) placeTasks(c *candidate, q *fleet.Queue, tickets map[string]string) {
 	if c.step().Gang {
 		p.placeGang(c, q, tickets)
 		return
 	}
 	if unplaceable, ok := p.unplaceable[c.step().Image]; ok && c.step().Backfill && unplaceable.Fits(c.step().Needs) {
-		p.placeWithCPULimit(c.first(), q)
+		p.placeWithCPULimit(c.first(), q, tickets)
 		return
 	}
 	for _, t := range c.tasks {
@@ -290,10 +296,10 @@
 // priority may be stopped.
 func (p *planPass) handleUnplaced(c *candidate, t *task, q *fleet.Queue, tickets map[string]string) {
 	if t.step.Backfill {
-		if len(t.failedOn) == 0 && !t.onProbation() {
+		if len(t.failedOn) == 0 && !t.onProbation() && tickets == nil {
 			p.unplaceable[t.step.Image] = t.step.Needs
 		}
-		p.placeWithCPULimit(t, q)
+		p.placeWithCPULimit(t, q, tickets)
 		return
 	}
 	if tickets == nil {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -192,11 +192,14 @@
 			continue
 		}
 		q := queueOf(cfg, t.job)
-		sl := p.bestSlot(t, q, p.slots, "", nil)
+		sl := p.bestSlot(t, q, p.slots, "", p.s.tickets(t, q, p.now))
 		t.drainKept = sl == nil
 		if sl == nil {
 			kept++
-			if q != nil {
+			switch {
+			case p.s.isAdvised(q):
+				p.s.seekAdvice(t, q, p.slots, p.now)
+			case q != nil:
 				p.preempt(&candidate{tasks: []*task{t}, job: t.job, class: classLongRunning}, t, q)
 			}
 			continue
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -131,7 +131,7 @@
 	loadLoggedAt         time.Duration      // when the load was last logged
 	lookahead            lookahead
 	explainLimit         *rate.Limiter
-	approvals            map[string]*approval // by step, as named by stepName
+	adviceCalls          int // calls to the adviser in flight
 	cancel               context.CancelCauseFunc
 	cachedLoad           Load // computed at cachedLoadAt, without the backfill capacity
 	cachedLoadAt         time.Duration
@@ -155,7 +155,7 @@
 		cfg: cfg, jobs: map[string]*job{}, hosts: map[string]*host{},
 		inboxToDelete: map[string]bool{}, publishedExpiries: map[string]bool{}, droppedJobs: map[string]bool{}, deletedJobs: map[string]deletion{}, borrowed: map[string]*job{},
 		wake: make(chan struct{}, 1), loaded: make(chan struct{}), cycleDone: make(chan struct{}),
-		colocation: colocation.NewModel(), durationModel: newDurationModel(), meanWork: meanWork{}, sizeWeight: sizeWeight, approvals: map[string]*approval{},
+		colocation: colocation.NewModel(), durationModel: newDurationModel(), meanWork: meanWork{}, sizeWeight: sizeWeight,
 		presumedCrashes: map[string]*presumedCrash{}, unreadable: map[string]bool{}, zones: zoneView{bound: cfg.Zones.Bound}, shares: queueorder.NewShares(),
 		explainLimit: newExplainLimit(), lookahead: lookahead{reservations: map[string]*reservation{}}, admission: newAdmission(),
 	}
@@ -361,6 +361,7 @@
 // finishJob sets the final state of j and has its runs stopped.
 func (s *Shard) finishJob(j *job, state workload.State) {
 	j.record.State, j.record.EndMillis, j.dirty = state, int64(s.storeNow()), true
+	j.advice = nil
 	for _, tasks := range j.tasks {
 		for _, t := range tasks {
 			if t.Phase == workload.Placed {
--- a/internal/dispatch/zone_lend.go
+++ b/internal/dispatch/zone_lend.go
@@ -28,9 +28,12 @@
 	return out
 }
 
-// stranded reports whether no worker of this shard is large enough for the waiting job j, which was
-// moved here from a closed shard and cannot move again.
+// stranded reports whether no worker of this shard can run the waiting job j: the adviser has denied it
+// all of them, or none is large enough and it was moved here from a closed shard and cannot move again.
 func (s *Shard) stranded(j *job, now time.Duration) bool {
+	if s.jobAdviceExhausted(j) {
+		return true
+	}
 	if s.zones.bound == 0 || !j.movedHere || j.started() || len(j.tasks[0]) == 0 {
 		return false
 	}
@@ -57,14 +60,14 @@
 	if t.step.Gang || t.step.LongRunning || !j.stored || !j.active() || j.loan != nil || now < t.notBefore {
 		return false
 	}
-	return (j.started() || j.movedHere || j.spec.Timed()) && j.dependenciesDone(t.id.Occurrence, t.id.Step)
+	return (j.started() || j.movedHere || j.spec.Timed() || s.adviceExhausted(t)) && j.dependenciesDone(t.id.Occurrence, t.id.Step)
 }
 
 // returnDue reports whether the waiting borrowed task t is to be returned: at once if this shard
-// is closed, and otherwise once it has waited for returnAfter, if it is long-running or fits no worker
+// is closed or the adviser denies it all its workers, and otherwise once it has waited for returnAfter, if it is long-running or fits no worker
 // here. Its lender can run any other task that ends by itself later than this shard at best.
 func (s *Shard) returnDue(t *task, now time.Duration) bool {
-	if s.closed() {
+	if s.closed() || s.adviceExhausted(t) {
 		return true
 	}
 	return now-t.pendingSince >= returnAfter && (t.step.LongRunning || !s.holds(t))
--- a/internal/fleetfake/workers.go
+++ b/internal/fleetfake/workers.go
@@ -98,6 +98,8 @@
 	outOfUse            map[string]time.Time // zones out of use, and since when
 	checkpoint          string               // of every run
 	maxReported         int                  // ended runs that a worker reports at a time
+	adviser             *Adviser             // whose ticket the starts of advised tasks need, or nil
+	advised             func(task string) bool
 }
 
 // NewWorkers returns workers that register in store.
@@ -385,6 +387,9 @@
 		if start.LeaseUntil < fw.clock() {
 			return fleet.CommandLeaseExpired
 		}
+		if w.adviser != nil && w.advised(start.Task) && !w.adviser.valid(start.Ticket, start.Task, fw.id) {
+			return fleet.CommandNoTicket
+		}
 		fw.extendLease(start.LeaseUntil)
 		if !fw.fits(start.Task) {
 			return fleet.CommandNoCapacity
@@ -514,6 +519,13 @@
 	w.fails = f
 }
 
+// SetAdviser makes the starts of the tasks that advised names need a ticket of a.
+func (w *Workers) SetAdviser(a *Adviser, advised func(task string) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.adviser, w.advised = a, advised
+}
+
 // SetFailing makes a worker fail all its runs soon after their start, or ends that.
 func (w *Workers) SetFailing(id string, failing bool) {
 	w.mu.Lock()
