dispatch: a withdrawn crash takes off what it had added

Cause: a loss that was presumed a crash and turns out not to be one, as the worker is back in the same incarnation, was taken off both counts of its tasks, also where it had been added to one of them or to none.

Evidence: three of the four cases of TestWithdrawnCrashTakesOffWhatItAdded failed on the old code, with one or two losses too few.

Change: each presumed loss remembers what it has added.

Figures: the test passes, with the other tests of crashes.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -114,19 +114,21 @@
 		return // it left; a worker that drains gets no start for seconds before
 	}
 	alone := s.lostAlone(h)
+	var counted workload.Crashes
 	if !t.settled {
-		t.AtStart++
+		counted.AtStart = 1
 	}
 	if alone && t.Crashes.Total >= h.mostCrashes && !(t.settled && h.lostSuspect) {
-		t.Crashes.Total++
+		counted.Total = 1
 	}
+	t.AtStart, t.Crashes.Total = t.AtStart+counted.AtStart, t.Crashes.Total+counted.Total
 	certain := proven && alone && h.lostAtStartOf(t) && t.lostAt != h.Address
 	if certain {
 		t.certainCrashes++
 	}
 	t.lostAt, t.lostInRack, t.job.dirty = h.Address, h.Rack, true
 	if !proven {
-		s.presumeCrash(t, h)
+		s.presumeCrash(t, h, counted)
 	}
 	s.giveUpIfCrashing(t, certain && t.certainCrashes >= minCertainCrashes)
 }
@@ -161,20 +163,26 @@
 type presumedCrash struct {
 	incarnation int64
 	at          time.Duration
-	tasks       []*task // with runs that were lost
+	tasks       []presumedLoss
+}
+
+// presumedLoss is a run that was lost with such a worker.
+type presumedLoss struct {
+	task    *task
+	counted workload.Crashes // what its loss has added to the counts of the task
 }
 
 // presumedCrashMemory is how long a silent worker may take to prove that it had not crashed.
 const presumedCrashMemory = 2 * time.Minute
 
 // presumeCrash remembers that t was lost on h without a proof that h has crashed.
-func (s *Shard) presumeCrash(t *task, h *host) {
+func (s *Shard) presumeCrash(t *task, h *host, counted workload.Crashes) {
 	c := s.presumedCrashes[h.ID]
 	if c == nil || c.incarnation != h.Incarnation {
 		c = &presumedCrash{incarnation: h.Incarnation, at: s.now()}
 		s.presumedCrashes[h.ID] = c
 	}
-	c.tasks = append(c.tasks, t)
+	c.tasks = append(c.tasks, presumedLoss{t, counted})
 }
 
 // withdrawCrash corrects the counts of the tasks whose worker was presumed to have crashed, but is
@@ -185,8 +193,9 @@
 		return
 	}
 	delete(s.presumedCrashes, w.ID)
-	for _, t := range c.tasks {
-		t.Crashes.Total, t.AtStart = max(0, t.Crashes.Total-1), max(0, t.AtStart-1)
+	for _, l := range c.tasks {
+		t := l.task
+		t.Crashes.Total, t.AtStart = max(0, t.Crashes.Total-l.counted.Total), max(0, t.AtStart-l.counted.AtStart)
 		t.job.dirty = true
 	}
 	logger.WithField("worker", w.ID).WithField("tasks", len(c.tasks)).Info("lost worker is back in the same incarnation")
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -189,6 +189,48 @@
 	}
 }
 
+// Guards against a loss being taken off the counts of a task that it was not added to: a task that
+// crashes its workers would get a start for each of them more.
+func TestWithdrawnCrashTakesOffWhatItAdded(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		settled  bool
+		together bool             // the rack fell silent together
+		want     workload.Crashes // while the crash is presumed
+	}{
+		{"soon after the start", false, false, workload.Crashes{Total: 3, AtStart: 2}},
+		{"later", true, false, workload.Crashes{Total: 3, AtStart: 1}},
+		{"soon after the start, with its rack", false, true, workload.Crashes{Total: 2, AtStart: 2}},
+		{"later, with its rack", true, true, workload.Crashes{Total: 2, AtStart: 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(2)
+			j := f.add("j", "batch", workload.Step{Tasks: 1})
+			f.plan(f.now)
+			f.confirmRuns()
+			task := j.tasks[0][0]
+			before := workload.Crashes{Total: 2, AtStart: 1}
+			task.Crashes, task.settled = before, c.settled
+			h := f.hosts[task.Worker]
+			h.lastSilence = f.now
+			if c.together {
+				for _, o := range f.hosts {
+					o.lastSilence = f.now
+				}
+			}
+			h.mostCrashes = 2
+			f.countCrash(task, h, false)
+			if task.Crashes != c.want {
+				t.Fatalf("counted %+v, want %+v", task.Crashes, c.want)
+			}
+			f.withdrawCrash(h.Worker)
+			if task.Crashes != before {
+				t.Errorf("%+v after the crash was withdrawn, want %+v", task.Crashes, before)
+			}
+		})
+	}
+}
+
 // crashesOf returns the crashes counted for the first task of a job.
 func (tc *testCluster) crashesOf(id string) workload.Crashes {
 	s := tc.shard()
