dispatch: a full list of free workers proves no other one too small

A long-running task that needs an accelerator, or much memory, could wait for good beside a worker that fits it in another shard.

Cause: the loads that shards exchange list the eight workers with the most CPU. A worker that the list leaves out was taken for one that does not fit.

Evidence: TestChooseBorrowerBeyondAFullList failed on the old code.

Change: if no listed worker fits, a shard is asked whose full list ends above the CPU that the task needs; one that returns the task is left out next time, so that all of them get their turn. Lists that are not full, and tasks that need more CPU than the last listed worker has, are decided as before.

--- a/internal/dispatch/borrower.go
+++ b/internal/dispatch/borrower.go
@@ -33,7 +33,8 @@
 // on which the task fits even once all short runs have ended, a shard that has one is taken.
 // A task that still runs is only given to a shard in which nothing waits for the free worker,
 // and whose workers are all of one service, as the lists don't tell services apart: its run is
-// stopped first, and must not be stopped for a place that it does not get.
+// stopped first, and must not be stopped for a place that it does not get. Shards whose lists are cut off
+// before a worker that may fit come last, in turn, as each one that returns the task is left out.
 func ChooseBorrower(r *LoanRequest, loads map[string]Load, names []string) string {
 	need := r.step().Committed()
 	names = slices.DeleteFunc(slices.Clone(names), func(name string) bool { return slices.Contains(r.RefusedBy, name) })
@@ -46,12 +47,22 @@
 	if name != "" || r.Running {
 		return name
 	}
-	return leastLoaded(loads, names, func(l *Load) bool {
+	name = leastLoaded(loads, names, func(l *Load) bool {
 		if len(l.SpareWorkers) == 0 {
 			return l.Utilisation(need.MilliCPU) <= maxBorrowerLoad
 		}
 		return !r.FitsLater && fitsListed(l.SpareWorkers, need)
 	})
+	if name != "" || r.FitsLater {
+		return name
+	}
+	return leastLoaded(loads, names, func(l *Load) bool { return mayFitUnlisted(l.SpareWorkers, need) })
+}
+
+// mayFitUnlisted reports whether a worker that the list leaves out may fit need. A full list proves only
+// that the others have no more CPU than its last entry, and nothing of their memory and accelerators.
+func mayFitUnlisted(workers []WorkerCapacity, need resource.Vector) bool {
+	return len(workers) == maxListedWorkers && workers[maxListedWorkers-1].MilliCPU >= need.MilliCPU
 }
 
 // roomiest returns the named shard with the most room for a task that ends by itself, however full
--- a/internal/dispatch/borrower_test.go
+++ b/internal/dispatch/borrower_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"testing"
 
@@ -68,6 +69,42 @@
 	}
 }
 
+// Guards against a task waiting for good because the worker that fits it is left out of a shard's list, which
+// names those with the most CPU.
+func TestChooseBorrowerBeyondAFullList(t *testing.T) {
+	full, listed := shardLoad(500_000), shardLoad(600_000)
+	for range maxListedWorkers + 2 {
+		v := resource.Vector{MilliCPU: 12_000, MemoryMB: 100_000}
+		full.FreeWorkers, full.SpareWorkers = listWorker(full.FreeWorkers, v), listWorker(full.SpareWorkers, v)
+	}
+	listed.FreeWorkers = listWorker(nil, resource.Vector{MilliCPU: 12_000, MemoryMB: 100_000, Accelerators: 2})
+	listed.SpareWorkers = listed.FreeWorkers
+	for _, c := range []struct {
+		name     string
+		milliCPU int64
+		loads    map[string]Load
+		request  LoanRequest
+		want     string
+	}{
+		{"accelerator that the list leaves out", 10_000, map[string]Load{"a": full}, LoanRequest{}, "a"},
+		{"in a shard that returned the task", 10_000, map[string]Load{"a": full}, LoanRequest{RefusedBy: []string{"a"}}, ""},
+		{"listed accelerator first", 10_000, map[string]Load{"a": full, "b": listed}, LoanRequest{}, "b"},
+		{"more CPU than the last listed worker has", 12_500, map[string]Load{"a": full}, LoanRequest{}, ""},
+		{"a list that is not full", 10_000, map[string]Load{"a": shardLoad(500_000, [2]int64{12_000, 12_000})}, LoanRequest{}, ""},
+		{"capacity in the own shard later", 10_000, map[string]Load{"a": full}, LoanRequest{FitsLater: true}, ""},
+		{"running task", 10_000, map[string]Load{"a": full}, LoanRequest{Running: true}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := loanRequest(c.milliCPU, 1000)
+			r.Spec.Steps[0].Needs.Accelerators = 1
+			r.Running, r.FitsLater, r.RefusedBy = c.request.Running, c.request.FitsLater, c.request.RefusedBy
+			if got := ChooseBorrower(r, c.loads, slices.Sorted(maps.Keys(c.loads))); got != c.want {
+				t.Errorf("shard %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
 // Tasks that were sent to a shard take its listed workers until it reports again.
 func TestListedWorkersAreReservedForSentTasks(t *testing.T) {
 	reported := shardLoad(600_000, [2]int64{30_000, 30_000}, [2]int64{13_000, 13_000})
