node: a shard with room is chosen by one reading of the configuration

With admission and several shards, a configuration that drops a queue at the wrong moment ended the process.

Change: the selector carries the priority that it was made with.

--- a/internal/node/balance.go
+++ b/internal/node/balance.go
@@ -63,7 +63,7 @@
 	if c == nil {
 		return "", false
 	}
-	shard := c.shardWithRoom(j, o.node.Config().QueueByName(j.Queue).Priority, accepted)
+	shard := c.shardWithRoom(j, accepted)
 	if shard == "" {
 		return "", false
 	}
@@ -82,7 +82,7 @@
 	if q == nil {
 		return nil
 	}
-	return &shardSelector{own: o.own, service: q.Service, loads: o.node.owners.loads(), byGap: o.node.features().Reservations}
+	return &shardSelector{own: o.own, service: q.Service, priority: q.Priority, loads: o.node.owners.loads(), byGap: o.node.features().Reservations}
 }
 
 // Borrower implements dispatch.OtherShards.
--- a/internal/node/choice.go
+++ b/internal/node/choice.go
@@ -41,8 +41,10 @@
 type shardSelector struct {
 	own     string
 	service string // the service whose workers run the job
-	loads   map[string]dispatch.Load
-	byGap   bool // a short job that fits no worker here moves to one where it fits
+	// priority is that of the job's queue.
+	priority int
+	loads    map[string]dispatch.Load
+	byGap    bool // a short job that fits no worker here moves to one where it fits
 }
 
 // shardForNewJob returns the shard for a newly submitted job, or "" to keep it. Short jobs
@@ -66,16 +68,16 @@
 	return ""
 }
 
-// shardWithRoom returns the other shard with the shortest wait for a job of a priority, or "" if the
+// shardWithRoom returns the other shard with the shortest wait for a job of the priority, or "" if the
 // wait is not accepted. A job whose data are in one rack has no choice.
-func (c *shardSelector) shardWithRoom(j *workload.Spec, priority int, accepted func(wait time.Duration) bool) string {
+func (c *shardSelector) shardWithRoom(j *workload.Spec, accepted func(wait time.Duration) bool) string {
 	best, shortest := "", time.Duration(0)
 	if j.Steps[0].Rack != "" {
 		return ""
 	}
 	for _, name := range c.shardsWithService() {
 		l := c.loads[name]
-		if wait, ok := l.Wait(priority); ok && name != c.own && accepted(wait) && (best == "" || wait < shortest) {
+		if wait, ok := l.Wait(c.priority); ok && name != c.own && accepted(wait) && (best == "" || wait < shortest) {
 			best, shortest = name, wait
 		}
 	}
--- a/internal/node/choice_test.go
+++ b/internal/node/choice_test.go
@@ -164,8 +164,15 @@
 		{"no wait is known", jobWithStep(workload.Step{}), 1, time.Second, ""},
 		{"bound to a rack", inRack, 2, time.Second, ""},
 	} {
-		if got := c.shardWithRoom(k.job, k.priority, within(k.limit)); got != k.want {
+		if got := withPriority(c, k.priority).shardWithRoom(k.job, within(k.limit)); got != k.want {
 			t.Errorf("%s: %q, want %q", k.name, got, k.want)
 		}
 	}
 }
+
+// withPriority returns the selector for a job of a priority.
+func withPriority(c *shardSelector, priority int) *shardSelector {
+	out := *c
+	out.priority = priority
+	return &out
+}
