node: tables are read to the last page, gone instances are forgotten

After 500 replaced instances a new one would have found only some of its peers in the store, and most pings went to instances that are gone.

Change: both are read page by page, more slowly while a new deployment counts many workers. The entry of an instance that has sent nothing for ten minutes, and was not written anew, is deleted; one that is missing is written again by its instance. At most two peers of a ping round are ones that have been silent for a minute.

Cost: a read of one row more for each 500 instances every ten seconds; no other call.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -159,7 +159,7 @@
 	s.recordPublishedExpiries(b.heartbeat.LeaseExpiries)
 	if now := s.now(); s.colocation.Known() && now-s.estimatesStoredAt > estimatesStoreInterval && now >= s.estimatesHeldUntil {
 		s.estimatesStoredAt = now
-		b.put(TableInterference, KeyInterference, s.colocation.EstimatesToStore(now, int64(s.storeNow()), s.cfg.Bounds.rowLimit()))
+		b.put(TableInterference, KeyInterference, s.colocation.EstimatesToStore(now, int64(s.storeNow()), s.cfg.Bounds.RowLimit()))
 		b.estimates = true
 	}
 	full := s.addJobsToBatch(b)
@@ -225,7 +225,7 @@
 	if shorten {
 		rows = append(rows, fleet.Row{Table: TableAccepted, Key: j.spec.ID, Value: workload.Encode(j.shortAccepted())})
 	}
-	rows = append(rows, fleet.Row{Table: TableProgress, Key: j.spec.ID, Value: j.progressRow(s.cfg.Bounds.rowLimit())})
+	rows = append(rows, fleet.Row{Table: TableProgress, Key: j.spec.ID, Value: j.progressRow(s.cfg.Bounds.RowLimit())})
 	size := 0
 	for _, r := range rows {
 		size += len(r.Value)
--- a/internal/dispatch/row_size.go
+++ b/internal/dispatch/row_size.go
@@ -24,8 +24,8 @@
 	checkpointFieldBytes = len(`"c":"",`)
 )
 
-// rowLimit returns the largest size of the value of a row in bytes.
-func (b *Bounds) rowLimit() int {
+// RowLimit returns the largest size of the value of a row in bytes.
+func (b *Bounds) RowLimit() int {
 	if b.RowBytes > 0 {
 		return b.RowBytes
 	}
@@ -35,9 +35,9 @@
 // CheckSize returns an error with the code JobTooLarge, or LoanBad for a loan, if the store does not
 // accept the row of a new job or loan.
 func (b *Bounds) CheckSize(a *workload.Accepted) error {
-	limit, code := b.rowLimit()-rowReserve, result.JobTooLarge
+	limit, code := b.RowLimit()-rowReserve, result.JobTooLarge
 	if a.Loan != nil {
-		limit, code = b.rowLimit(), result.LoanBad
+		limit, code = b.RowLimit(), result.LoanBad
 	}
 	if n := len(workload.Encode(a)); n > limit {
 		return result.Errorf(code, "the job takes %d bytes, at most %d", n, limit)
@@ -47,7 +47,7 @@
 
 // rowHasRoom reports whether the progress row of j may grow by n bytes.
 func (s *Shard) rowHasRoom(j *job, n int) bool {
-	return j.rowBytes+n <= s.cfg.Bounds.rowLimit()-rowReserve
+	return j.rowBytes+n <= s.cfg.Bounds.RowLimit()-rowReserve
 }
 
 // mayPlaceMore reports whether the progress row of j has room for the placement of a task on any worker.
--- a/internal/fleetfake/store.go
+++ b/internal/fleetfake/store.go
@@ -96,6 +96,7 @@
 	maxRowBytes  = 64 << 10
 	maxNameBytes = 200
 	maxTxBytes   = 1 << 20
+	maxPageRows  = 500
 )
 
 // tooLarge reports whether the platform would reject tx as malformed.
@@ -185,7 +186,10 @@
 		}
 	}
 	slices.SortFunc(p.Rows, func(a, b fleet.Row) int { return strings.Compare(a.Key, b.Key) })
-	if limit > 0 && len(p.Rows) > limit {
+	if limit <= 0 || limit > maxPageRows {
+		limit = maxPageRows
+	}
+	if len(p.Rows) > limit {
 		p.Rows, p.More = p.Rows[:limit], true
 	}
 	return p, nil
--- a/internal/node/layout.go
+++ b/internal/node/layout.go
@@ -127,18 +127,42 @@
 		if l := n.peers.requestLayout(ctx); l != nil {
 			return l, nil
 		}
-		if !pause.For(ctx, retryPause) {
+		// A large registry is read in many pages, by all instances of a new deployment.
+		if !pause.For(ctx, retryPause*time.Duration(1+workers/pageRows)) {
 			return nil, ctx.Err()
 		}
 	}
 }
 
+// pageRows is the number of rows that the store returns at a time.
+const pageRows = 500
+
+// readTable reads all rows of a table without parts, page by page. Each page may take storeTimeout.
+func (n *Node) readTable(ctx context.Context, table string) ([]fleet.Row, error) {
+	var rows []fleet.Row
+	from := ""
+	for {
+		tctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		p, err := n.deps.Store.Range(tctx, table, "", from, "", 0)
+		cancel()
+		n.recordStoreResult(err)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, p.Rows...)
+		if !p.More || len(p.Rows) == 0 {
+			return rows, nil
+		}
+		from = p.Rows[len(p.Rows)-1].Key + "\x00"
+	}
+}
+
 // readOrWriteLayout reads the layout. If there is none, it counts the registered
 // workers and, if write is set, stores a layout for them.
 func (n *Node) readOrWriteLayout(ctx context.Context, write bool) (*Layout, int, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	tctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	p, err := n.deps.Store.Range(ctx, tableLayout, "", "", "", 0)
+	p, err := n.deps.Store.Range(tctx, tableLayout, "", "", "", 0)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -150,21 +174,25 @@
 		}
 		return l, 0, l.Validate()
 	}
-	workers, err := n.deps.Store.Range(ctx, n.deps.Registry.Table(), "", "", "", 0)
+	rows, err := n.readTable(ctx, n.deps.Registry.Table())
 	if err != nil || !write {
-		return nil, len(workers.Rows), err
+		return nil, len(rows), err
 	}
 	instances, err := n.readInstances(ctx)
 	if err != nil {
-		return nil, len(workers.Rows), err
+		return nil, len(rows), err
 	}
-	l := newLayout(n.settings.Zones, decodeWorkers(n.deps.Registry, workers.Rows), workersPerShard(instances))
-	logger.WithField("workers", len(workers.Rows)).WithField("shards", len(l.Shards())).Info("layout written")
-	_, err = n.deps.Store.Commit(ctx, fleet.Tx{
+	l := newLayout(n.settings.Zones, decodeWorkers(n.deps.Registry, rows), workersPerShard(instances))
+	bounds := n.bounds()
+	l.fit(bounds.RowLimit())
+	logger.WithField("workers", len(rows)).WithField("shards", len(l.Shards())).WithField("racks", len(l.Racks)).Info("layout written")
+	wctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, err = n.deps.Store.Commit(wctx, fleet.Tx{
 		Expect: []fleet.Row{{Table: tableLayout, Key: keyLayout}},
 		Put:    []fleet.Row{{Table: tableLayout, Key: keyLayout, Value: workload.Encode(l)}},
 	})
-	return nil, len(workers.Rows), err // read again: another instance may have been first
+	return nil, len(rows), err // read again: another instance may have been first
 }
 
 // decodeWorkers decodes the entries of the registry.
@@ -222,6 +250,17 @@
 	return l
 }
 
+// fit drops racks until the encoded layout has at most limit bytes. They are assigned by their hash then.
+func (l *Layout) fit(limit int) {
+	left := limit - len(workload.Encode(&Layout{Zones: l.Zones, PerZone: l.PerZone})) - len(`,"racks":{}`)
+	for _, rack := range slices.Sorted(maps.Keys(l.Racks)) {
+		size := len(workload.Encode(map[string]string{rack: l.Racks[rack]})) // the braces stand for the comma
+		if left -= size; left < 0 {
+			delete(l.Racks, rack)
+		}
+	}
+}
+
 // assignRacks assigns the racks of a zone, largest first, each to the zone's shard with
 // the fewest workers so far.
 func (l *Layout) assignRacks(zone string, racks map[string]int) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -309,7 +309,9 @@
 		if !registered {
 			registered = n.register(ctx)
 		}
-		if !n.readMembers(ctx) || !registered {
+		listed, ok := n.readMembers(ctx)
+		registered = registered && (listed || !ok)
+		if !ok || !registered {
 			pause.For(ctx, retryPause)
 			continue
 		}
@@ -329,30 +331,31 @@
 	return err == nil
 }
 
-// readMembers reads the table of instances, adds them as peers and pings them.
-func (n *Node) readMembers(ctx context.Context) bool {
-	list, err := n.readInstances(ctx)
+// readMembers reads the table of instances, adds them as peers, forgets those that are long gone and pings
+// the others. It reports whether this instance is listed, and whether the table was read.
+func (n *Node) readMembers(ctx context.Context) (listed, ok bool) {
+	rows, err := n.readTable(ctx, tableInstances)
 	if err != nil {
-		return false
+		return false, false
 	}
-	for _, i := range list {
+	for _, i := range decodeInstances(rows) {
+		listed = listed || i.Name == n.self.Name
 		n.peers.update(i)
 	}
+	n.forgetGone(ctx, rows)
 	n.peers.announce(ctx)
-	return true
+	return listed, true
 }
 
 // readInstances reads the entries of all registered instances.
 func (n *Node) readInstances(ctx context.Context) ([]Instance, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	p, err := n.deps.Store.Range(ctx, tableInstances, "", "", "", 0)
-	n.recordStoreResult(err)
-	if err != nil {
-		return nil, err
-	}
+	rows, err := n.readTable(ctx, tableInstances)
+	return decodeInstances(rows), err
+}
+
+func decodeInstances(rows []fleet.Row) []Instance {
 	var list []Instance
-	for _, r := range p.Rows {
+	for _, r := range rows {
 		var i Instance
 		if err := workload.Decode(r.Value, &i); err != nil {
 			logger.WithField("key", r.Key).WithError(err).Error("cannot decode an instance's entry")
@@ -360,7 +363,7 @@
 		}
 		list = append(list, i)
 	}
-	return list, nil
+	return list
 }
 
 // reload reads and validates the settings file at each SIGHUP and logs the result.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -27,6 +27,10 @@
 	// maxPingTargets bounds the peers that one round pings in a large deployment. The
 	// owners of shards are pinged in addition.
 	maxPingTargets = 8
+	// maxSilentTargets is how many of them may be peers that have sent nothing for silentPeerAfter and are
+	// probably gone.
+	maxSilentTargets = 2
+	silentPeerAfter  = time.Minute
 	// lingerTime is how long a connection on which a ping was not answered stays open for the
 	// calls that are in flight on it.
 	lingerTime = 3 * time.Second
@@ -37,6 +41,9 @@
 // peer holds the latest report of another instance and the connection to it.
 type peer struct {
 	Instance
+	discoveredAt  time.Time
+	entryVersion  int64     // of its entry in the store, as last read
+	entryReadAt   time.Time // when the entry was first read in this version
 	lastMessageAt time.Time // last ping or reply
 	aliveSince    time.Time // start of the current period without a gap of aliveTimeout
 	storeOK       bool
@@ -78,7 +85,7 @@
 			known.close()
 		}
 		logger.WithField("peer", i.Name).WithField("life", i.Incarnation).Info("peer discovered")
-		known = &peer{Instance: i}
+		known = &peer{Instance: i, discoveredAt: time.Now()}
 		p.byName[i.Name] = known
 		p.changedAt = time.Now()
 	}
@@ -203,8 +210,8 @@
 }
 
 // pingTargets returns the peers to ping in one round: all of them in a small deployment,
-// otherwise maxPingTargets random ones, the own zone's first, and all owners of shards, whose
-// names are given.
+// otherwise maxPingTargets random ones, the own zone's first and few that are probably gone, and all owners
+// of shards, whose names are given.
 func (p *peers) pingTargets(owners []string) []*peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -226,6 +233,7 @@
 		}
 		return 1
 	})
+	all = silentLast(all)
 	out := all[:maxPingTargets:maxPingTargets]
 	for _, pr := range all[maxPingTargets:] {
 		if slices.Contains(owners, pr.Name) {
@@ -235,6 +243,23 @@
 	return out
 }
 
+// silentLast moves all but maxSilentTargets of the peers that are probably gone behind the others. The caller
+// holds the lock of peers.
+func silentLast(all []*peer) []*peer {
+	var first, last []*peer
+	silent := 0
+	for _, pr := range all {
+		if time.Since(pr.lastHeard()) > silentPeerAfter {
+			if silent++; silent > maxSilentTargets {
+				last = append(last, pr)
+				continue
+			}
+		}
+		first = append(first, pr)
+	}
+	return append(first, last...)
+}
+
 func (p *peers) ping(ctx context.Context, pr *peer, toOwner bool) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
--- a/internal/node/stored_test.go
+++ b/internal/node/stored_test.go
@@ -19,10 +19,17 @@
 // nodeWithoutPeers returns an instance that knows no owner of a shard and so answers
 // from the store's rows.
 func nodeWithoutPeers(t *testing.T, store fleet.Store) *Node {
+	t.Helper()
+	return nodeWithMetrics(t, store, obs.NewMetrics("test_lone"))
+}
+
+// nodeWithMetrics is nodeWithoutPeers for a test in virtual time: m has a reporter in the background, and is
+// created outside of it.
+func nodeWithMetrics(t *testing.T, store fleet.Store, m *obs.Metrics) *Node {
 	t.Helper()
 	workers := fleetfake.NewWorkers(nil)
 	n := New(t.Context(), &settings.Node{Instance: "n0", Zone: "z0"},
-		Deps{Store: store, Workers: workers, Registry: workers, Configs: fakeConfigs{}}, obs.NewMetrics("test_lone"))
+		Deps{Store: store, Workers: workers, Registry: workers, Configs: fakeConfigs{}}, m)
 	l := &Layout{Zones: []string{"z0", "z1"}, PerZone: 1}
 	n.owners.addShards(l)
 	n.layout.Store(l)
