dispatch: an end is acknowledged only once its job is stored, whatever the end changed

With a job held back, as the store rejects its rows, members of a gang ran again after their success had been acknowledged.

Cause: the end of the first member that is done completes the gang. The ends of the others change nothing, so that they did not wait for the job's row, and the first one was lost with its worker.

Change: each end of a run of a job waits for the job's row while that has changes that are not stored, also the ends of occurrences that are closed.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -62,7 +62,6 @@
 	}
 	logger.WithField("task", t.name).WithField("run", e.Run).WithField("worker", h.ID).WithField("latest_run", t.Run).
 		Info("failure of an earlier run is reported late")
-	t.job.recordUnstoredEnd(h, incarnationEnd{h.Incarnation, e.Number})
 	t.job.dirty = true
 	s.failIfExhausted(t)
 }
--- a/internal/dispatch/borrow.go
+++ b/internal/dispatch/borrow.go
@@ -37,19 +37,20 @@
 	}
 }
 
-// taskByName returns the task that workers know by name, or nil if the shard has none.
-func (s *Shard) taskByName(name string) (*task, error) {
+// taskByName returns the task that workers know by name and its job. The task is nil if its occurrence has
+// ended, and both are if the shard has no such job.
+func (s *Shard) taskByName(name string) (*task, *job, error) {
 	id, err := workload.ParseTaskID(name)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if j := s.borrowed[name]; j != nil {
-		return j.findTask(workload.TaskID{}), nil
+		return j.findTask(workload.TaskID{}), j, nil
 	}
 	if j := s.jobs[id.Job]; j != nil {
-		return j.findTask(id), nil
+		return j.findTask(id), j, nil
 	}
-	return nil, nil
+	return nil, nil, nil
 }
 
 // returnWaitingLoans returns the borrowed tasks that have waited for returnAfter or were stopped
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -201,12 +201,16 @@
 }
 
 // setAppliedEnds sets the run ends that may be acknowledged to their workers once b is durable: those
-// before the first one that has changed a job which b does not store.
+// before the first one of a job with changes that b does not store.
 func (s *Shard) setAppliedEnds(b *batch) {
 	for _, h := range s.hosts {
 		b.appliedEnds[h] = incarnationEnd{h.Incarnation, h.appliedEnd}
 	}
 	for _, j := range s.jobs {
+		if !j.dirty {
+			j.unstoredEnds = nil // all that they have changed is stored, or in b
+			continue
+		}
 		for h, first := range j.unstoredEnds {
 			if e, ok := b.appliedEnds[h]; ok && first.incarnation == e.incarnation && first.number <= e.number {
 				b.appliedEnds[h] = incarnationEnd{e.incarnation, first.number - 1}
@@ -450,7 +454,7 @@
 	}
 }
 
-// recordUnstoredEnd records that a run end has changed j.
+// recordUnstoredEnd records that the end of a run of j was reported.
 func (j *job) recordUnstoredEnd(h *host, e incarnationEnd) {
 	first, ok := j.unstoredEnds[h]
 	if ok && first.incarnation == e.incarnation && first.number <= e.number {
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -18,11 +18,16 @@
 // applyEnd records how a run ended. The end is acknowledged to the worker only after its
 // effect is committed.
 func (s *Shard) applyEnd(h *host, e fleet.EndReport) {
-	t, err := s.taskByName(e.Task)
+	t, j, err := s.taskByName(e.Task)
 	if err != nil {
 		logger.WithField("worker", h.ID).WithError(err).Error("run end has an invalid task id")
 		return
 	}
+	if j != nil {
+		// Also an end that changes nothing may confirm what is not stored yet, like that of a further
+		// member of a gang that is done.
+		j.recordUnstoredEnd(h, incarnationEnd{h.Incarnation, e.Number})
+	}
 	if t == nil || t.Phase == workload.Done || t.Run != e.Run && !t.acceptsLateSuccess(e) {
 		s.removeRun(h, e)
 		if t != nil && e.Kind == fleet.EndFailed && e.Run < t.Run {
@@ -31,7 +36,6 @@
 		return
 	}
 	now := s.now()
-	t.job.recordUnstoredEnd(h, incarnationEnd{h.Incarnation, e.Number})
 	if e.Checkpoint != "" {
 		t.Checkpoint = e.Checkpoint
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -54,7 +54,7 @@
 	rowBytes         int                      // size of the progress row as last encoded, plus an upper bound of its growth since, without checkpoints
 	heldUntil        time.Duration            // not stored before then, as the store has rejected its rows
 	holds            int                      // how often in a row that was so
-	unstoredEnds     map[*host]incarnationEnd // the first run end of each worker that changed it since it was last added to a commit
+	unstoredEnds     map[*host]incarnationEnd // the first end of a run on each worker since it was last added to a commit
 }
 
 // task is a task of a job; its stored part is the embedded Progress.
--- a/internal/dispatch/long_running_walk_test.go
+++ b/internal/dispatch/long_running_walk_test.go
@@ -272,7 +272,7 @@
 func (s *Shard) describeTask(name string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t, err := s.taskByName(name)
+	t, _, err := s.taskByName(name)
 	if err != nil || t == nil {
 		return ""
 	}
--- a/internal/dispatch/row_size_test.go
+++ b/internal/dispatch/row_size_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -18,10 +19,7 @@
 
 // wallMillis returns the time of day on which the instances of tc agree, in Unix milliseconds.
 func (tc *testCluster) wallMillis() int64 {
-	s := tc.shard()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.cfg.WallClock(s.storeNow()).UnixMilli()
+	return tc.settings().WallClock(tc.store.Clock()).UnixMilli()
 }
 
 // timedJob returns a job of one step that is due at times from a second from now on.
@@ -198,16 +196,7 @@
 				tc.waitForWorkers()
 				tc.submit(jobWithSteps("bad", "batch", 4, 4))
 				time.Sleep(phase.after)
-				tc.store.SetFault(func(tx *fleet.Tx) fleetfake.Fault {
-					if tx != nil {
-						for _, r := range tx.Put {
-							if r.Table == TableProgress && r.Key == "bad" {
-								return fleetfake.Malformed
-							}
-						}
-					}
-					return fleetfake.NoFault
-				})
+				rejectProgressOf(tc, "bad")
 				for i := range 60 {
 					tc.submit(jobWithSteps(fmt.Sprint("a", i), "short", 2, 1))
 				}
@@ -227,6 +216,42 @@
 	}
 }
 
+// Guards against members of a gang running again after their success was acknowledged: while the end of the gang
+// was not stored, the ends of those that were done after the first were acknowledged, and the first one was
+// lost with its worker.
+func TestRejectedRowOfAGangKeepsItsEnds(t *testing.T) {
+	withCluster(t, 3, func(tc *testCluster) {
+		tc.workers.SetGang(gangOf)
+		tc.workers.SetDuration(func(task string) time.Duration {
+			return time.Duration(300+100*int(task[len(task)-1]-'0')) * time.Millisecond
+		})
+		tc.waitForWorkers()
+		tc.submit(gangJob("g", 6))
+		time.Sleep(200 * time.Millisecond)
+		rejectProgressOf(tc, "g")
+		first := tc.workers.WorkerOf("g.0.0.0")
+		for i := range 10 {
+			tc.submit(jobWithSteps(fmt.Sprint("a", i), "short", 2))
+			time.Sleep(200 * time.Millisecond)
+		}
+		tc.workers.Restart(first)
+		killOwner(tc)
+		time.Sleep(3 * time.Second)
+		clearStoreFault(tc)
+		tc.await("g", workload.Completed, time.Minute)
+	})
+}
+
+// rejectProgressOf makes the store reject the progress row of a job as malformed.
+func rejectProgressOf(tc *testCluster, id string) {
+	tc.store.SetFault(func(tx *fleet.Tx) fleetfake.Fault {
+		if tx != nil && slices.ContainsFunc(tx.Put, func(r fleet.Row) bool { return r.Table == TableProgress && r.Key == id }) {
+			return fleetfake.Malformed
+		}
+		return fleetfake.NoFault
+	})
+}
+
 // Guards against estimates of ever more images outgrowing their row.
 func TestEstimatesOfManyImagesFitTheirRow(t *testing.T) {
 	withCluster(t, 2, func(tc *testCluster) {
--- a/internal/fleetfake/store.go
+++ b/internal/fleetfake/store.go
@@ -167,6 +167,9 @@
 	return out
 }
 
+// Clock returns the reading of the store's clock.
+func (s *Store) Clock() fleet.Clock { return s.clock() }
+
 func (s *Store) clock() fleet.Clock {
 	return fleet.Clock(1_000_000 + time.Since(s.started).Milliseconds())
 }
