--- a/internal/workload/record_test.go
+++ b/internal/workload/record_test.go
@@ -19,8 +19,11 @@
 		{"one occurrence", Record{State: Queued, Begun: 1, Tasks: map[int][]Progress{0: waiting}}, `{"s":"queued","t":{"0":[{},{},{}]}}`},
 		{"one occurrence, ended", Record{State: Completed, Begun: 1, EndMillis: 7}, `{"s":"completed","t":{"0":null},"e":7}`},
 		{"all ended", Record{State: Running, Begun: 5000}, `{"s":"running","t":[5000,{}]}`},
-		{"some open", Record{State: Running, Begun: 9, Tasks: map[int][]Progress{3: running, 8: waiting}},
-			`{"s":"running","t":[9,{"3":[{"p":2},{"p":1,"r":2,"w":"w","l":5,"c":"c"},{}],"8":[{"x":2}]}]}`},
+		{
+			"some open",
+			Record{State: Running, Begun: 9, Tasks: map[int][]Progress{3: running, 8: waiting}},
+			`{"s":"running","t":[9,{"3":[{"p":2},{"p":1,"r":2,"w":"w","l":5,"c":"c"},{}],"8":[{"x":2}]}]}`,
+		},
 		{"moved", Record{State: Queued, Moved: &Moved{Shard: "z-0"}}, `{"s":"queued","m":{"shard":"z-0"}}`},
 	} {
 		t.Run(c.name, func(t *testing.T) {
