--- a/internal/dispatch/attempts_test.go
+++ b/internal/dispatch/attempts_test.go
@@ -97,8 +97,9 @@
 
 // reload replaces the progress of j by what a new owner reads of it.
 func (f *fixture) reload(j *job) {
-	var stored workload.Record
-	if err := workload.Decode(workload.Encode(j.storedRecord()), &stored); err != nil {
+	record := j.storedRecord()
+	stored, err := workload.DecodeRecord(workload.EncodeRecord(&record))
+	if err != nil {
 		panic(err)
 	}
 	for k, tasks := range stored.Tasks {
--- a/internal/dispatch/handoff.go
+++ b/internal/dispatch/handoff.go
@@ -100,7 +100,8 @@
 		if j.storedVersion <= since {
 			continue
 		}
-		handed := HandedJob{ID: id, Progress: workload.Encode(j.storedRecord())}
+		record := j.storedRecord()
+		handed := HandedJob{ID: id, Progress: workload.EncodeRecord(&record)}
 		if j.acceptedVersion > since && needsSpec(&j.record) {
 			handed.Accepted = workload.Encode(j.accepted())
 		}
--- a/internal/dispatch/load_rows.go
+++ b/internal/dispatch/load_rows.go
@@ -143,8 +143,8 @@
 // restoreEnded decodes a progress row. It adds the job if its specification is not needed;
 // otherwise it returns the progress and true. The caller holds the lock.
 func (s *Shard) restoreEnded(r fleet.Row) (workload.Record, bool) {
-	var record workload.Record
-	if err := workload.Decode(r.Value, &record); err != nil {
+	record, err := workload.DecodeRecord(r.Value)
+	if err != nil {
 		s.setAside(r, err)
 		return record, false
 	}
--- a/internal/dispatch/prefetch.go
+++ b/internal/dispatch/prefetch.go
@@ -45,8 +45,8 @@
 	needed := map[string]bool{}
 	for _, r := range progress {
 		p.progress[r.Key] = r
-		var record workload.Record
-		needed[r.Key] = workload.Decode(r.Value, &record) == nil && needsSpec(&record)
+		record, err := workload.DecodeRecord(r.Value)
+		needed[r.Key] = err == nil && needsSpec(&record)
 	}
 	accepted, err := s.readAccepted(ctx, progress, func(key string) bool { return needed[key] })
 	if err != nil {
--- a/internal/dispatch/row_size.go
+++ b/internal/dispatch/row_size.go
@@ -63,10 +63,11 @@
 // row that would be too large with them: after a takeover their tasks start from the beginning.
 func (j *job) progressRow(limit int) []byte {
 	record := j.storedRecord()
-	value := workload.Encode(record)
+	value := workload.EncodeRecord(&record)
 	saved := checkpointBytes(&record)
 	if len(value) > limit && saved > 0 {
-		value = workload.Encode(withoutCheckpoints(record))
+		stripped := withoutCheckpoints(record)
+		value = workload.EncodeRecord(&stripped)
 		saved = 0
 	}
 	j.rowBytes = len(value) - saved
--- a/internal/dispatch/short_row_test.go
+++ b/internal/dispatch/short_row_test.go
@@ -33,8 +33,7 @@
 			if err != nil || len(progress.Rows) != 1 {
 				t.Fatal(progress, err)
 			}
-			var r workload.Record
-			if err := workload.Decode(progress.Rows[0].Value, &r); err != nil || r.Validate(&a.Spec) != nil {
+			if r, err := workload.DecodeRecord(progress.Rows[0].Value); err != nil || r.Validate(&a.Spec) != nil {
 				t.Errorf("progress row %s, %v", progress.Rows[0].Value, err)
 			}
 		}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -314,12 +314,11 @@
 }
 
 func (n *Node) readProgress(ctx context.Context, shard, id string) (workload.Record, error) {
-	var rec workload.Record
 	row, err := n.owners.readRow(ctx, dispatch.TableProgress, shard, id)
 	if err != nil {
-		return rec, err
+		return workload.Record{}, err
 	}
-	return rec, workload.Decode(row.Value, &rec)
+	return workload.DecodeRecord(row.Value)
 }
 
 // cancelInbox stores a cancellation in the shard's inbox, from which its next owner
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -48,16 +48,16 @@
 	Confirmed bool `json:"ok,omitempty"`
 }
 
-// Record is the stored row of a job's progress. Its size depends on the tasks that have begun and not
+// Record is the stored row of a job's progress; see EncodeRecord. Its size depends on the tasks that have begun and not
 // ended: neither ended occurrences nor tasks that wait for their first run take space in it.
 type Record struct {
-	State State
-	// Begun is the number of occurrences that have begun, the first ones of the schedule.
-	Begun int
+	State State `json:"s"`
 	// Tasks holds the tasks of all steps, in order, of each occurrence that has begun and not ended.
-	Tasks     map[int][]Progress
-	EndMillis int64 // store's clock when the state became final
-	Moved     *Moved
+	Tasks     map[int][]Progress `json:"t,omitempty"`
+	EndMillis int64              `json:"e,omitempty"` // store's clock when the state became final
+	Moved     *Moved             `json:"m,omitempty"`
+	// Begun is the number of occurrences that have begun, the first ones of the schedule.
+	Begun int `json:"-"`
 }
 
 // Occurrences returns the number of occurrences that have begun.
--- a/internal/workload/record_encoding.go
+++ b/internal/workload/record_encoding.go
@@ -1,22 +1,21 @@
 package workload
 
 import (
-	"bytes"
 	"encoding/json"
 	"slices"
 
 	"skylarkport/internal/result"
 )
 
-// storedRecord is the form of a Record in the store. Tasks is an object with the tasks of each occurrence,
-// or, once a second occurrence has begun, a pair of the number of occurrences that have begun and an
-// object with the tasks of the open ones, in runs of equal progress. An earlier version cannot decode the
-// pair: it would take the occurrences that are left out for ones that have not begun, and run them again.
-type storedRecord struct {
-	State     State           `json:"s"`
-	Tasks     json.RawMessage `json:"t,omitempty"`
-	EndMillis int64           `json:"e,omitempty"`
-	Moved     *Moved          `json:"m,omitempty"`
+// compactRecord is the stored form of a Record once a second occurrence has begun. Its tasks are a pair of the
+// number of occurrences that have begun and those that are open, in runs of equal progress. An earlier
+// version cannot decode the pair: it would take the occurrences that are left out for ones that have not
+// begun, and run them again.
+type compactRecord struct {
+	State     State  `json:"s"`
+	Tasks     []any  `json:"t"`
+	EndMillis int64  `json:"e,omitempty"`
+	Moved     *Moved `json:"m,omitempty"`
 }
 
 // maxStoredTasks bounds the tasks of a decoded record. A row of 64 KiB could list far more of them in runs.
@@ -28,29 +27,22 @@
 	More int `json:"x,omitempty"` // how many tasks follow the first
 }
 
-// MarshalJSON implements json.Marshaler.
-func (r Record) MarshalJSON() ([]byte, error) {
-	tasks, err := r.encodeTasks()
-	if err != nil {
-		return nil, err
-	}
-	return json.Marshal(storedRecord{State: r.State, Tasks: tasks, EndMillis: r.EndMillis, Moved: r.Moved})
-}
-
-func (r *Record) encodeTasks() (json.RawMessage, error) {
+// EncodeRecord returns r as the value of a row. While at most one occurrence has begun, that is an object with
+// its tasks, none of which are listed once it has ended; earlier versions read it.
+func EncodeRecord(r *Record) []byte {
 	switch begun := r.Occurrences(); {
-	case begun == 0:
-		return nil, nil
-	case begun == 1 && len(r.Tasks) == 0:
-		return json.RawMessage(`{"0":null}`), nil
-	case begun == 1:
-		return json.Marshal(r.Tasks)
-	default:
+	case begun > 1:
 		open := make(map[int][]progressRun, len(r.Tasks))
 		for k, tasks := range r.Tasks {
 			open[k] = runsOf(tasks)
 		}
-		return json.Marshal([]any{begun, open})
+		return Encode(compactRecord{State: r.State, Tasks: []any{begun, open}, EndMillis: r.EndMillis, Moved: r.Moved})
+	case begun == 1 && len(r.Tasks) == 0:
+		ended := *r
+		ended.Tasks = map[int][]Progress{0: nil}
+		return Encode(&ended)
+	default:
+		return Encode(r)
 	}
 }
 
@@ -70,54 +62,47 @@
 	return out
 }
 
-// UnmarshalJSON implements json.Unmarshaler.
-func (r *Record) UnmarshalJSON(b []byte) error {
-	var stored storedRecord
-	if err := json.Unmarshal(b, &stored); err != nil {
-		return err
-	}
-	*r = Record{State: stored.State, EndMillis: stored.EndMillis, Moved: stored.Moved}
-	tasks := bytes.TrimSpace(stored.Tasks)
-	if len(tasks) == 0 || bytes.Equal(tasks, []byte("null")) {
-		return nil
-	}
-	if tasks[0] == '[' {
-		return r.decodeOpen(tasks)
-	}
-	if err := json.Unmarshal(tasks, &r.Tasks); err != nil {
-		return err
+// DecodeRecord decodes a row that EncodeRecord or an earlier version has encoded.
+func DecodeRecord(b []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(b, &r); err != nil {
+		if compact, compactErr := decodeCompact(b); compactErr == nil {
+			return compact, nil
+		}
+		return Record{}, result.Wrap(result.JournalCorrupt, err, "decode row")
 	}
-	// An occurrence without tasks has ended. All that have begun are listed.
+	// All occurrences that have begun are listed, those that have ended without tasks.
 	r.Begun = len(r.Tasks)
 	for k, progress := range r.Tasks {
 		if len(progress) == 0 && k >= 0 && k < r.Begun {
 			delete(r.Tasks, k)
 		}
 	}
-	return nil
+	return r, nil
 }
 
-// decodeOpen decodes the pair of the number of occurrences that have begun and the open ones.
-func (r *Record) decodeOpen(b []byte) error {
+// decodeCompact decodes a compactRecord.
+func decodeCompact(b []byte) (Record, error) {
 	var open map[int][]progressRun
-	pair := []any{&r.Begun, &open}
-	if err := json.Unmarshal(b, &pair); err != nil {
-		return err
+	r := Record{Tasks: map[int][]Progress{}}
+	stored := compactRecord{Tasks: []any{&r.Begun, &open}}
+	if err := json.Unmarshal(b, &stored); err != nil {
+		return r, err
 	}
-	if len(pair) != 2 {
-		return result.Errorf(result.JournalCorrupt, "tasks in a list of %d entries", len(pair))
+	if len(stored.Tasks) != 2 {
+		return r, result.Errorf(result.JournalCorrupt, "tasks in a list of %d entries", len(stored.Tasks))
 	}
-	r.Tasks = make(map[int][]Progress, len(open))
+	r.State, r.EndMillis, r.Moved = stored.State, stored.EndMillis, stored.Moved
 	left := maxStoredTasks
 	for k, runs := range open {
 		for i := range runs {
 			n := runs[i].More + 1
 			if n < 1 || n > left {
-				return result.Errorf(result.JournalCorrupt, "more than %d tasks", maxStoredTasks)
+				return r, result.Errorf(result.JournalCorrupt, "more than %d tasks", maxStoredTasks)
 			}
 			left -= n
 			r.Tasks[k] = append(r.Tasks[k], slices.Repeat([]Progress{runs[i].Progress}, n)...)
 		}
 	}
-	return nil
+	return r, nil
 }
--- a/internal/workload/record_test.go
+++ b/internal/workload/record_test.go
@@ -27,12 +27,12 @@
 		{"moved", Record{State: Queued, Moved: &Moved{Shard: "z-0"}}, `{"s":"queued","m":{"shard":"z-0"}}`},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			got := Encode(c.record)
+			got := EncodeRecord(&c.record)
 			if string(got) != c.want {
 				t.Errorf("encoded as %s, want %s", got, c.want)
 			}
-			var back Record
-			if err := Decode(got, &back); err != nil {
+			back, err := DecodeRecord(got)
+			if err != nil {
 				t.Fatal(err)
 			}
 			if back.Tasks != nil && len(back.Tasks) == 0 {
@@ -51,15 +51,15 @@
 	var earlier struct {
 		Tasks map[int][]Progress `json:"t"`
 	}
-	if err := Decode(Encode(Record{State: Running, Begun: 2}), &earlier); err == nil {
+	if err := Decode(EncodeRecord(&Record{State: Running, Begun: 2}), &earlier); err == nil {
 		t.Error("the record is decoded")
 	}
 }
 
 // TestRecordOfEarlierVersion: an earlier version lists ended occurrences as empty.
 func TestRecordOfEarlierVersion(t *testing.T) {
-	var r Record
-	if err := Decode([]byte(`{"s":"running","t":{"0":null,"1":[],"2":[{"p":1,"r":1,"w":"w"}]}}`), &r); err != nil {
+	r, err := DecodeRecord([]byte(`{"s":"running","t":{"0":null,"1":[],"2":[{"p":1,"r":1,"w":"w"}]}}`))
+	if err != nil {
 		t.Fatal(err)
 	}
 	if r.Begun != 3 || len(r.Tasks) != 1 || r.Tasks[2][0].Worker != "w" {
