--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -93,18 +93,23 @@
 	return out
 }
 
-// seekAdvice asks the adviser in the background about workers that t could run on, but for a valid
-// ticket. Workers that it has not heard of for this step come before long: no answer is asked for again
-// while another worker has none.
-func (s *Shard) seekAdvice(t *task, q *fleet.Queue, slots []*slot, now time.Duration) {
-	a := t.advice()
-	if a == nil {
-		if t.job.advice == nil {
-			t.job.advice = map[stepKey]*advice{}
-		}
-		a = &advice{verdicts: map[string]verdict{}}
-		t.job.advice[stepKey{t.id.Occurrence, t.id.Step}] = a
+// ensureAdvice returns what is known of the workers for the step of t, at first nothing.
+func (t *task) ensureAdvice() *advice {
+	if a := t.advice(); a != nil {
+		return a
 	}
+	if t.job.advice == nil {
+		t.job.advice = map[stepKey]*advice{}
+	}
+	a := &advice{verdicts: map[string]verdict{}}
+	t.job.advice[stepKey{t.id.Occurrence, t.id.Step}] = a
+	return a
+}
+
+// seekAdvice asks the adviser in the background about workers on which t could be placed if it had a
+// valid ticket. Verdicts are kept, so that successive calls go through all workers of the shard.
+func (s *Shard) seekAdvice(t *task, q *fleet.Queue, slots []*slot, now time.Duration) {
+	a := t.ensureAdvice()
 	if a.asking {
 		return // the answer wakes the commit loop
 	}
@@ -131,10 +136,10 @@
 	s.hostWG.Go(func() { s.callAdviser(&c) })
 }
 
-// hostsToAsk returns the hosts that the adviser is to be asked about for the step of t, the most
-// promising first: approved ones with room whose ticket has expired; then those with room that it has not
-// been asked about, by its answers for other steps of the queue and the time since the last question; and
-// if there are none, approved ones without room, whose capacity may be free before the ticket expires.
+// hostsToAsk returns the hosts to ask the adviser about for the step of t, the most promising first:
+// approved hosts with room whose ticket has expired, then hosts with room and no verdict, ordered by their
+// approvals for other steps of the queue and by the time of the last question. If there are none, it
+// returns approved hosts without room: their capacity may be freed while the new ticket is valid.
 func (s *Shard) hostsToAsk(a *advice, t *task, q *fleet.Queue, slots []*slot, now time.Duration) []*host {
 	var approved, unknown, full []*host
 	for _, sl := range slots {
@@ -245,8 +250,9 @@
 	s.recordAdvice(c, tickets, requestedAt, now)
 }
 
-// recordAdvice records the answer to c. A ticket counts from the earliest time at which it can have been
-// issued; if it would have expired by then, it is tried all the same for half of its validity.
+// recordAdvice records the answer to c. The validity of a ticket counts from the earliest time at which
+// the adviser can have issued it, but lasts at least half of its length from now: a call that waited long
+// would otherwise never yield a usable ticket.
 func (s *Shard) recordAdvice(c *adviceCall, tickets map[string]string, requestedAt, now time.Duration) {
 	issuedAt := max(requestedAt, now-callTime(&c.policy, len(c.workers)))
 	validUntil := max(issuedAt+c.policy.Validity-ticketSafetyMargin, now+c.policy.Validity/2)
--- a/internal/dispatch/malformed_commit.go
+++ b/internal/dispatch/malformed_commit.go
@@ -6,9 +6,9 @@
 	"skylarkport/internal/result"
 )
 
-// A commit that the store rejects as malformed is never sent again as it is: its jobs are committed in
-// ever smaller batches until the one that the store rejects is alone. That job is held back, and the
-// rest of the shard goes on.
+// A commit that the store rejects as malformed is not retried unchanged. Its jobs are committed in smaller
+// and smaller batches until the job that causes the rejection is alone in one. That job is held back,
+// and the others are not delayed by it.
 const (
 	// holdMin is how long a job whose rows the store has rejected is first held back. Each further time
 	// in a row takes twice as long, up to holdMax.
--- a/internal/dispatch/row_size.go
+++ b/internal/dispatch/row_size.go
@@ -5,9 +5,9 @@
 	"skylarkport/internal/workload"
 )
 
-// No row may outgrow the largest size that the store accepts. What a job can do without is left out of
-// its row, and what would not fit is not decided: a commit with a larger row would fail each time, at
-// each owner.
+// Every row stays within the size limit of the store: optional data is left out of a row that would
+// exceed it, and a decision that would make a row exceed it is not made. A commit with a larger row fails
+// each time, at each owner.
 const (
 	// defaultRowBytes is the largest value of a row where the platform states none, in bytes.
 	defaultRowBytes = 64 << 10
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -18,7 +18,7 @@
 	waitRow                         // the row of its job has no room for another run
 )
 
-var waitReasonNames = [...]string{"behind", "no victims", "release", "reserved", "row"}
+var waitReasonNames = [...]string{"behind", "no victims", "release", "reserved", "row full"}
 
 func (r waitReason) String() string { return waitReasonNames[r] }
 
