review: case 7, jobs that need a label wait for ever in a shard without it

Cause: the choice of a job's shard looks at no label. Once the workers with the label have left the home shard, its jobs wait there, beside idle workers with the label in other shards.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,4 @@
+#!/bin/bash
+# Two workers drain and leave; jobs that need their label are never begun. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review-lab -dir review/7 -node target/skylark-node labels
