review: silent connections and cancelled work in the soak

Added: connections of the store and the workers that can go silent; a check of what runs on after a cancellation; the soak removes its folder if it gives up.

--- a/review/lab/http.go
+++ b/review/lab/http.go
@@ -12,14 +12,15 @@
 // loopback is the address of this case. Cases that run at the same time have different ones.
 var loopback = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
 
-// serve starts an HTTP server on a free loopback port and returns its address.
-func serve(h http.Handler) string {
+// serve starts an HTTP server on a free loopback port and returns its address and connections.
+func serve(h http.Handler) (string, *channels) {
 	l, err := net.Listen("tcp", loopback+":0")
 	if err != nil {
 		giveUp("listen: %v", err)
 	}
-	go func() { _ = http.Serve(l, h) }()
-	return l.Addr().String()
+	c := newChannels(l)
+	go func() { _ = http.Serve(c, h) }()
+	return l.Addr().String(), c
 }
 
 // reserve returns a free loopback address and what keeps others from taking it.
--- a/review/lab/judge.go
+++ b/review/lab/judge.go
@@ -11,11 +11,12 @@
 
 // Bounds of a small deployment, as its sheet gives them.
 const (
-	contact   = 3 * time.Second // ContactMs
-	cancelMax = 3 * time.Second // cancel_ms
-	lostAfter = 6 * time.Second // from the last run of a task that lasts
-	lostFor   = 3 * time.Second // without a run
-	calmFor   = 4 * time.Second // before them
+	contact   = 3 * time.Second        // ContactMs
+	cancelMax = 3 * time.Second        // cancel_ms
+	stopMax   = 200 * time.Millisecond // StopMs
+	lostAfter = 6 * time.Second        // from the last run of a task that lasts
+	lostFor   = 3 * time.Second        // without a run
+	calmFor   = 4 * time.Second        // before them
 	finish    = 14 * time.Second
 )
 
@@ -103,7 +104,8 @@
 	violations []string
 	counts     map[string]int
 	ends       map[string]int
-	disturbed  time.Time // until when something was disturbed
+	late       map[string]bool // tasks of cancelled jobs that ran on
+	disturbed  time.Time       // until when something was disturbed
 	fleet      *fleet
 }
 
@@ -112,7 +114,7 @@
 	if err != nil {
 		giveUp("%v", err)
 	}
-	return &judge{record: f, began: time.Now(), jobs: map[string]*job{}, tasks: map[string]*taskState{}, counts: map[string]int{}, ends: map[string]int{}}
+	return &judge{record: f, began: time.Now(), jobs: map[string]*job{}, tasks: map[string]*taskState{}, counts: map[string]int{}, ends: map[string]int{}, late: map[string]bool{}}
 }
 
 func (g *judge) log(format string, args ...any) {
@@ -304,6 +306,7 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	for id, j := range g.jobs {
+		g.checkCancelled(id, j, now)
 		since, ok := j.accepted()
 		if !ok || !j.lasts() {
 			continue
@@ -330,6 +333,22 @@
 	}
 }
 
+// checkCancelled checks that the tasks of a cancelled job do not run on.
+func (g *judge) checkCancelled(id string, j *job, now time.Time) {
+	j.mu.Lock()
+	noted := j.noted
+	j.mu.Unlock()
+	if noted.IsZero() || now.Sub(noted) < cancelMax+stopMax || now.Sub(g.disturbed) < cancelMax+stopMax+contact {
+		return
+	}
+	for name, t := range g.tasks {
+		if strings.HasPrefix(name, id+".") && len(t.running) > 0 && !g.late[name] {
+			g.late[name] = true
+			g.violationLocked("UNASKED", "%s runs on %.1f s after the cancelling of its job was acknowledged", name, now.Sub(noted).Seconds())
+		}
+	}
+}
+
 // roomTwice reports whether one worker that the task, of the step s, may run on has twice its needs free.
 func (g *judge) roomTwice(task string, s *step) bool {
 	used, siblings := map[*life]amounts{}, map[*life]int{}
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -15,6 +15,7 @@
 func giveUp(format string, args ...any) {
 	if running != nil {
 		running.cluster.stopAll()
+		_ = os.RemoveAll(running.cluster.dir)
 	}
 	fmt.Fprintf(os.Stderr, format+"\n", args...)
 	os.Exit(2)
--- a/review/lab/soak.go
+++ b/review/lab/soak.go
@@ -81,7 +81,11 @@
 		}
 		capacity = amounts{Cpu: 6000, MemMb: 32000}
 	}
-	l := start(dir, binary, 4, racks, nil)
+	l := start(dir, binary, 4, racks, func(settings map[string]any) {
+		if keep := os.Getenv("KEEPENDED"); keep != "" {
+			settings["bounds"].(map[string]any)["keep_ended"] = keep
+		}
+	})
 	l.labels = 4
 	if os.Getenv("WIDE") != "" {
 		l.labels = 2 // those that every shard has
@@ -230,7 +234,7 @@
 	}
 	long := time.Duration(1000+rng.IntN(3500)) * time.Millisecond
 	until := time.Now().Add(long)
-	switch rng.IntN(11) {
+	switch rng.IntN(12) {
 	case 0, 1:
 		l.judge.disturb(time.Now().Add(600*time.Millisecond), "kill %s", nd.name)
 		nd.kill()
@@ -298,6 +302,15 @@
 		})
 		time.Sleep(long)
 		l.fleet.setCommand(nil)
+	case 11:
+		l.judge.disturb(time.Now(), "all open connections to the store and the workers go silent")
+		l.store.channels.silence()
+		l.fleet.mu.Lock()
+		for _, w := range l.fleet.lives {
+			w.channels.silence()
+		}
+		l.fleet.mu.Unlock()
+		time.Sleep(time.Duration(rng.IntN(12)) * time.Second)
 	case 10:
 		l.judge.disturb(until, "starts are answered 503 for %v", long)
 		l.fleet.setCommand(func(_ *life, path string) commandFault {
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -33,6 +33,8 @@
 	late    func(writes []storedRow) time.Duration // after which a transaction without an answer is carried out; 0 for none
 	writes  int                                    // transactions so far
 	url     string
+
+	channels *channels
 }
 
 // storeFault is what happens to one call.
@@ -49,7 +51,7 @@
 	mux.HandleFunc("POST /rows-tx", s.with(s.transact))
 	mux.HandleFunc("GET /rows-get", s.with(s.get))
 	mux.HandleFunc("GET /rows-feed", s.with(s.feed))
-	s.url = serve(mux)
+	s.url, s.channels = serve(mux)
 	return s
 }
 
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -57,7 +57,7 @@
 	address   string
 	born      int64
 	started   time.Time
-	listener  net.Listener
+	channels  *channels
 	server    *http.Server
 	mu        sync.Mutex
 	token     int64
@@ -110,7 +110,7 @@
 	}
 	w := &life{
 		fleet: f, id: id, kind: kind, rack: rack, zone: zone, address: l.Addr().String(), born: time.Now().UnixMilli(), started: time.Now(),
-		listener: l, runs: map[string]*taskRun{}, ended: map[string]int{}, lapsed: map[int64]bool{}, endSignal: make(chan struct{}), stop: make(chan struct{}),
+		channels: newChannels(l), runs: map[string]*taskRun{}, ended: map[string]int{}, lapsed: map[int64]bool{}, endSignal: make(chan struct{}), stop: make(chan struct{}),
 	}
 	f.mu.Lock()
 	f.lives[id] = w
@@ -122,7 +122,7 @@
 	mux.HandleFunc("POST /pace", w.with(w.pace))
 	mux.HandleFunc("GET /health", func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusOK) })
 	w.server = &http.Server{Handler: mux}
-	go func() { _ = w.server.Serve(l) }()
+	go func() { _ = w.server.Serve(w.channels) }()
 	go w.tick()
 	go func() {
 		time.Sleep(f.early)
