review: an acknowledged cancellation that is lost with its owner

Cause: callers that wait for the commit of a job stand in one list. The inbox row of a submission answers them all, also one that waits for a cancellation, which is not stored yet. If the owner is lost then, its successor runs the job from the inbox.

--- /dev/null
+++ b/review/11/main.go
@@ -0,0 +1,154 @@
+// Command 11 plays a cancellation that is acknowledged before it is stored: the answers to two commits of the owner
+// are lost, and its process is killed after the acknowledgement.
+package main
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"skylarkport/review/rig3"
+)
+
+const (
+	job    = "00000000000000a1"
+	prefix = "/aaa/"
+	// lateBy is how much later the store carries out the writes without an answer.
+	lateBy = 3 * time.Second
+	// lostWrites is how many writes in a row get no answer. They are less than 35 of 100 of the writes in lostWindow.
+	lostWrites = 2
+	lostWindow = 4500 * time.Millisecond
+	lostShare  = 0.35
+	cancelMs   = 3 * time.Second
+	contactMs  = 3 * time.Second
+)
+
+func main() { rig3.Main(run) }
+
+func run(r *rig3.Rig) (int, error) {
+	for i, id := range []string{"i-01", "i-02", "i-03", "i-04"} {
+		if _, err := r.Fleet.AddWorker(id, r.Zones[i%3], []string{"a", "r1-" + id}, 16000, 32768, true); err != nil {
+			return rig3.NotRun, err
+		}
+	}
+	r.Configure(3, true, rig3.NewRoute("r-a", prefix, 4))
+	var lossesLeft atomic.Int32
+	var writes writeLog
+	var owner *rig3.Node
+	r.Store.Lose = func(client, path string) rig3.Loss {
+		if path != "/rows-tx" {
+			return rig3.Loss{}
+		}
+		lost := owner != nil && client == owner.Name && lossesLeft.Add(-1) >= 0
+		writes.add(lost)
+		if lost {
+			r.Record.Add("lost-write", "node", client, "late", lateBy)
+			return rig3.Loss{Lost: true, Late: lateBy}
+		}
+		return rig3.Loss{}
+	}
+	if err := r.AddNodes(3); err != nil {
+		return rig3.NotRun, err
+	}
+	for _, n := range r.Nodes {
+		if err := n.Start(); err != nil {
+			return rig3.NotRun, err
+		}
+	}
+	if err := r.AwaitReady(15 * time.Second); err != nil {
+		return rig3.NotRun, err
+	}
+	time.Sleep(10 * time.Second)
+	owner = r.OwnerNode()
+	if owner == nil {
+		return rig3.NotRun, nil
+	}
+	var others []*rig3.Node
+	for _, n := range r.Nodes {
+		if n != owner {
+			others = append(others, n)
+		}
+	}
+	r.Record.Add("owner", "node", owner.Name)
+
+	step := func(after ...int) *rig3.Step {
+		return &rig3.Step{Count: 3, CPU: 1000, MemMB: 256, EstimatedMs: 4000, After: after, Work: 4 * time.Second}
+	}
+	if rig3.Trouble() {
+		lossesLeft.Store(lostWrites)
+	}
+	// The client hands the job in and cancels it before it has an answer.
+	var wg sync.WaitGroup
+	wg.Go(func() { r.Submit(others[0], prefix, job, rig3.Schedule{}, step(), step(0), step(1)) })
+	time.Sleep(400 * time.Millisecond)
+	reply := r.Do(others[1], http.MethodDelete, prefix+job, nil)
+	acked := r.Record.Now()
+	if rig3.Trouble() {
+		owner.Signal(syscall.SIGKILL)
+	}
+	wg.Wait()
+	for reply.Status != http.StatusOK && reply.Status != http.StatusGone {
+		reply = r.Do(others[1], http.MethodDelete, prefix+job, nil)
+		acked = r.Record.Now()
+	}
+	r.Record.Add("cancelled", "status", reply.Status)
+	time.Sleep(16 * time.Second)
+	for _, n := range others {
+		r.State(n, prefix, job)
+	}
+	share := writes.largestShare(lostWindow)
+	r.Record.Add("lost-share", "share", share)
+	if share > lostShare {
+		return rig3.NotRun, nil
+	}
+	// Only starts by machines in touch count: the process that was killed, and the last late write, are over for so long.
+	from := acked + max(cancelMs, lateBy+contactMs)
+	code := rig3.Held
+	for _, e := range r.Record.Events("start") {
+		if e.At > from {
+			r.Record.Add("broken", "rule", "UNASKED", "task", e.Fields["task"], "after_ack", e.At-acked)
+			code = rig3.Broken
+		}
+	}
+	return code, nil
+}
+
+// writeLog tells how many of the writes got no answer.
+type writeLog struct {
+	mu   sync.Mutex
+	at   []time.Time
+	lost []bool
+}
+
+func (l *writeLog) add(lost bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.at, l.lost = append(l.at, time.Now()), append(l.lost, lost)
+}
+
+// largestShare returns the share of lost writes in the window that ends with the last of them.
+func (l *writeLog) largestShare(window time.Duration) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	last := -1
+	for i := range l.lost {
+		if l.lost[i] {
+			last = i
+		}
+	}
+	if last < 0 {
+		return 0
+	}
+	lost, all := 0, 0
+	for i := range l.at {
+		if d := l.at[last].Sub(l.at[i]); d >= 0 && d <= window {
+			all++
+			if l.lost[i] {
+				lost++
+			}
+		}
+	}
+	return float64(lost) / float64(all)
+}
