--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -448,3 +448,31 @@
 
 // Wall returns the time of day at a time of the record.
 func (r *Rig) Wall(at time.Duration) time.Time { return r.Record.began.Add(at) }
+
+// StartSmall starts a small deployment: four workers with room for all jobs of a case, three nodes in three zones, and
+// the given routes in the configuration with the given version. It returns when the nodes are ready and the shard has
+// had an owner for a while.
+func (r *Rig) StartSmall(version int, routes ...Route) error {
+	for i, id := range []string{"i-01", "i-02", "i-03", "i-04"} {
+		if _, err := r.Fleet.AddWorker(id, r.Zones[i%len(r.Zones)], []string{"a", "r1-" + id}, 16000, 32768, true); err != nil {
+			return err
+		}
+	}
+	r.Configure(version, true, routes...)
+	if err := r.AddNodes(len(r.Zones)); err != nil {
+		return err
+	}
+	for _, n := range r.Nodes {
+		if err := n.Start(); err != nil {
+			return err
+		}
+	}
+	if err := r.AwaitReady(15 * time.Second); err != nil {
+		return err
+	}
+	time.Sleep(10 * time.Second)
+	if r.OwnerNode() == nil {
+		return fmt.Errorf("the shard has no owner")
+	}
+	return nil
+}
