review: tasks that crash their workers together are never given up

Cause: a crash of a worker that comes later than a second after the start counts only if no other worker of its rack falls silent then. The tasks of a step that crash their workers at the same time excuse each other.

--- a/review/11/main.go
+++ b/review/11/main.go
@@ -28,20 +28,15 @@
 func main() { rig3.Main(run) }
 
 func run(r *rig3.Rig) (int, error) {
-	for i, id := range []string{"i-01", "i-02", "i-03", "i-04"} {
-		if _, err := r.Fleet.AddWorker(id, r.Zones[i%3], []string{"a", "r1-" + id}, 16000, 32768, true); err != nil {
-			return rig3.NotRun, err
-		}
-	}
-	r.Configure(3, true, rig3.NewRoute("r-a", prefix, 4))
 	var lossesLeft atomic.Int32
 	var writes writeLog
-	var owner *rig3.Node
+	var owner atomic.Pointer[rig3.Node]
 	r.Store.Lose = func(client, path string) rig3.Loss {
 		if path != "/rows-tx" {
 			return rig3.Loss{}
 		}
-		lost := owner != nil && client == owner.Name && lossesLeft.Add(-1) >= 0
+		known := owner.Load()
+		lost := known != nil && client == known.Name && lossesLeft.Add(-1) >= 0
 		writes.add(lost)
 		if lost {
 			r.Record.Add("lost-write", "node", client, "late", lateBy)
@@ -49,29 +44,18 @@
 		}
 		return rig3.Loss{}
 	}
-	if err := r.AddNodes(3); err != nil {
+	if err := r.StartSmall(3, rig3.NewRoute("r-a", prefix, 4)); err != nil {
 		return rig3.NotRun, err
 	}
-	for _, n := range r.Nodes {
-		if err := n.Start(); err != nil {
-			return rig3.NotRun, err
-		}
-	}
-	if err := r.AwaitReady(15 * time.Second); err != nil {
-		return rig3.NotRun, err
-	}
-	time.Sleep(10 * time.Second)
-	owner = r.OwnerNode()
-	if owner == nil {
-		return rig3.NotRun, nil
-	}
+	owned := r.OwnerNode()
+	owner.Store(owned)
 	var others []*rig3.Node
 	for _, n := range r.Nodes {
-		if n != owner {
+		if n != owned {
 			others = append(others, n)
 		}
 	}
-	r.Record.Add("owner", "node", owner.Name)
+	r.Record.Add("owner", "node", owned.Name)
 
 	step := func(after ...int) *rig3.Step {
 		return &rig3.Step{Count: 3, CPU: 1000, MemMB: 256, EstimatedMs: 4000, After: after, Work: 4 * time.Second}
@@ -86,7 +70,7 @@
 	reply := r.Do(others[1], http.MethodDelete, prefix+job, nil)
 	acked := r.Record.Now()
 	if rig3.Trouble() {
-		owner.Signal(syscall.SIGKILL)
+		owned.Signal(syscall.SIGKILL)
 	}
 	wg.Wait()
 	for reply.Status != http.StatusOK && reply.Status != http.StatusGone {
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -173,14 +174,19 @@
 	exited                            chan struct{}
 }
 
+// Ports of the nodes are below those that the system gives to outgoing connections, so that a node finds its port
+// free when it is started again.
+const firstPort, lastPort = 12000, 30000
+
 // freeAddress returns an address on which nothing listens.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 100 {
+		a := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		if l, err := net.Listen("tcp", a); err == nil {
+			return a, l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("no free port between %d and %d", firstPort, lastPort)
 }
 
 // AddNodes adds so many nodes, one after the other in the zones, and writes their settings.
@@ -449,15 +455,19 @@
 // Wall returns the time of day at a time of the record.
 func (r *Rig) Wall(at time.Duration) time.Time { return r.Record.began.Add(at) }
 
-// StartSmall starts a small deployment: four workers with room for all jobs of a case, three nodes in three zones, and
-// the given routes in the configuration with the given version. It returns when the nodes are ready and the shard has
-// had an owner for a while.
+// StartSmall starts a small deployment: four workers with room for all jobs of a case, and StartNodes.
 func (r *Rig) StartSmall(version int, routes ...Route) error {
 	for i, id := range []string{"i-01", "i-02", "i-03", "i-04"} {
 		if _, err := r.Fleet.AddWorker(id, r.Zones[i%len(r.Zones)], []string{"a", "r1-" + id}, 16000, 32768, true); err != nil {
 			return err
 		}
 	}
+	return r.StartNodes(version, routes...)
+}
+
+// StartNodes starts a node in each zone, with the given routes in the configuration of the given version. It returns
+// when the nodes are ready and the shard has had an owner for a while.
+func (r *Rig) StartNodes(version int, routes ...Route) error {
 	r.Configure(version, true, routes...)
 	if err := r.AddNodes(len(r.Zones)); err != nil {
 		return err
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -41,6 +41,8 @@
 	Work           time.Duration `json:"-"` // of a task
 	FailedRunsOf   int           `json:"-"` // so many first runs of each task end failed, at half of their work
 	FailAllMembers bool          `json:"-"` // of a gang: all, not only the first
+	CrashAfter     time.Duration `json:"-"` // a run crashes its worker so much after its start; 0 for never
+	BackAfter      time.Duration `json:"-"` // a worker that a run has crashed starts again so much later
 }
 
 // Fleet is the set of workers, with what they share.
@@ -531,11 +533,29 @@
 		workers := f.workers
 		f.mu.Unlock()
 		for _, w := range workers {
+			if r := w.crashing(); r != nil {
+				w.fleet.Record.Add("crashed-by", "worker", w.ID, "task", r.task, "run", r.run)
+				w.Crash()
+				time.AfterFunc(r.step.BackAfter, func() { _ = w.Restart() })
+				continue
+			}
 			w.endRuns()
 		}
 	}
 }
 
+// crashing returns a run that crashes the worker now, or nil.
+func (w *Worker) crashing() *taskRun {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.runs {
+		if after := r.step.CrashAfter; after > 0 && time.Since(r.begunAt) >= after {
+			return r
+		}
+	}
+	return nil
+}
+
 func (w *Worker) endRuns() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
