--- a/review/11/main.go
+++ b/review/11/main.go
@@ -18,11 +18,11 @@
 	// lateBy is how much later the store carries out the writes without an answer.
 	lateBy = 3 * time.Second
 	// lostWrites is how many writes in a row get no answer. They are less than 35 of 100 of the writes in lostWindow.
-	lostWrites = 2
-	lostWindow = 4500 * time.Millisecond
-	lostShare  = 0.35
-	cancelMs   = 3 * time.Second
-	contactMs  = 3 * time.Second
+	lostWrites   = 2
+	lostWindow   = 4500 * time.Millisecond
+	lostShare    = 0.35
+	cancelBound  = 3 * time.Second
+	contactBound = 3 * time.Second
 )
 
 func main() { rig3.Main(run) }
@@ -88,7 +88,7 @@
 		return rig3.NotRun, nil
 	}
 	// Only starts by machines in touch count: the process that was killed, and the last late write, are over for so long.
-	from := acked + max(cancelMs, lateBy+contactMs)
+	from := acked + max(cancelBound, lateBy+contactBound)
 	code := rig3.Held
 	for _, e := range r.Record.Events("start") {
 		if e.At > from {
