--- a/review/11/main.go
+++ b/review/11/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -25,6 +26,9 @@
 	contactBound = 3 * time.Second
 )
 
+// trouble reports whether the case has its disruption.
+func trouble() bool { return os.Getenv("TROUBLE") != "0" }
+
 func main() { rig3.Main(run) }
 
 func run(r *rig3.Rig) (int, error) {
@@ -60,7 +64,7 @@
 	step := func(after ...int) *rig3.Step {
 		return &rig3.Step{Count: 3, CPU: 1000, MemMB: 256, EstimatedMs: 4000, After: after, Work: 4 * time.Second}
 	}
-	if rig3.Trouble() {
+	if trouble() {
 		lossesLeft.Store(lostWrites)
 	}
 	// The client hands the job in and cancels it before it has an answer.
@@ -69,7 +73,7 @@
 	time.Sleep(400 * time.Millisecond)
 	reply := r.Do(others[1], http.MethodDelete, prefix+job, nil)
 	acked := r.Record.Now()
-	if rig3.Trouble() {
+	if trouble() {
 		owned.Signal(syscall.SIGKILL)
 	}
 	wg.Wait()
--- a/review/12/main.go
+++ b/review/12/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"os"
 	"time"
 
 	"skylarkport/review/rig3"
@@ -16,6 +17,9 @@
 	work     = 3 * time.Second
 )
 
+// trouble reports whether the case has its disruption.
+func trouble() bool { return os.Getenv("TROUBLE") != "0" }
+
 func main() { rig3.Main(run) }
 
 func run(r *rig3.Rig) (int, error) {
@@ -28,11 +32,11 @@
 		return rig3.NotRun, nil
 	}
 	time.Sleep(2 * time.Second) // the second runs work
-	if rig3.Trouble() {
+	if trouble() {
 		r.Configure(5, true, b)
 	}
 	time.Sleep(4 * time.Second)
-	if rig3.Trouble() {
+	if trouble() {
 		r.Configure(9, true, a, b)
 	}
 	time.Sleep(14 * time.Second)
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -419,9 +419,6 @@
 	return body.Pending
 }
 
-// Trouble reports whether the case is to be run with its disruption.
-func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
-
 // Exit codes of a case.
 const (
 	Held   = 0
