dispatch: a caller is answered by the write that stores its own request

What callers saw: a job was submitted and, before that was answered, cancelled at another instance. The DELETE was answered 200 together with the POST; the owner of the shard was killed, and the next one ran the whole job. The same way led a borrower to believe that its lender had stored a returned loan, and a submission to be accepted of which the store held nothing but the cancellation.

Cause: the callers that wait for a commit of a job stood in one list. An inbox row with the submission, read while a commit got no answer, answered all of them, also those whose request was in memory alone. And any inbox row of a job, also that of its cancellation, counted as its submission.

Change: confirm.go decides alone who is answered, and when. A caller waits for its request (submission, cancellation, change of the progress), and the store's known rows of the job confirm it or not; a change is confirmed by a commit that was built after it. Callers stay with the job until then, so that a commit that is built again needs no list of them. A caller that gives up is taken off.

--- a/internal/dispatch/accept.go
+++ b/internal/dispatch/accept.go
@@ -71,22 +71,17 @@
 	if a.Loan != nil && a.Loan.Cancelled {
 		s.cancelJob(j)
 	}
-	return s.awaitCommit(ctx, j)
+	return s.await(ctx, j, acceptedAs(&a))
 }
 
 // acceptAgain accepts a, another submission of the job j, and returns nil once j is durable. The caller holds
 // the lock, which acceptAgain releases.
 func (s *Shard) acceptAgain(ctx context.Context, j *job, a *workload.Accepted) error {
-	if a.Loan != nil && a.Loan.Cancelled && !j.record.State.Final() {
+	if a.Loan != nil && a.Loan.Cancelled {
 		s.cancelJob(j)
-		return s.awaitCommit(ctx, j)
 	}
 	s.submitWithdrawn(j)
-	if (j.stored || j.inInbox) && !(j.dirty && j.durableState == workload.Withdrawn) {
-		s.mu.Unlock()
-		return nil
-	}
-	return s.awaitCommit(ctx, j)
+	return s.await(ctx, j, acceptedAs(a))
 }
 
 // refuseUnlessStored returns the refusal of a, unless an earlier submission of the job is stored: it is accepted
@@ -131,25 +126,3 @@
 	}
 	return j
 }
-
-// awaitCommit waits for the next durable commit of j. The caller holds the lock, which
-// awaitCommit releases.
-func (s *Shard) awaitCommit(ctx context.Context, j *job) error {
-	done := make(chan error, 1)
-	j.waiters = append(j.waiters, done)
-	s.mu.Unlock()
-	s.wakeCommitLoop()
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !j.sentToStore && !j.stored && !j.inInbox && s.jobs[j.spec.ID] == j {
-		s.removeUnstored(j)
-		j.reply(result.Errorf(result.JobRefused, "the store is unavailable"))
-		return result.Errorf(result.JobRefused, "the store is unavailable")
-	}
-	return result.Errorf(result.OutcomeUnknown, "the job was not committed within the deadline")
-}
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -73,8 +73,8 @@
 	jobs         []*job                     // jobs whose progress it stores
 	ends         []map[*host]incarnationEnd // the unstored run ends of each of jobs
 	states       []workload.State           // the state of each of jobs that it stores
+	commits      []int                      // the number of this commit among those of each of jobs
 	newJobs      []*job                     // jobs that it stores for the first time
-	waiters      [][]chan<- error           // callers that wait for each of jobs
 	starts       []*task                    // runs to start
 	appliedEnds  map[*host]incarnationEnd   // the last run end of each worker that it includes
 	inboxKeys    []string                   // keys of the inbox rows that it deletes
@@ -249,9 +249,10 @@
 	j.dirty = false
 	b.jobs = append(b.jobs, j)
 	b.states = append(b.states, j.record.State)
-	b.waiters = append(b.waiters, j.waiters)
+	j.commits++
+	b.commits = append(b.commits, j.commits)
 	b.ends = append(b.ends, j.unstoredEnds)
-	j.waiters, j.unstoredEnds = nil, nil
+	j.unstoredEnds = nil
 	if j.record.Moved != nil {
 		b.moved = append(b.moved, j)
 	}
@@ -386,11 +387,11 @@
 // run, and their callers learn it at once. The caller holds the lock.
 func (s *Shard) refuseUnsentJobs() {
 	for _, j := range s.jobs {
-		if j.stored || j.sentToStore || j.inInbox || len(j.waiters) == 0 {
+		if j.stored || j.sentToStore || j.inInbox() || len(j.waiters) == 0 {
 			continue
 		}
 		s.removeUnstored(j)
-		j.reply(result.Errorf(result.JobRefused, "the store is unavailable"))
+		j.reject(result.Errorf(result.JobRefused, "the store is unavailable"))
 	}
 }
 
@@ -432,13 +433,13 @@
 	}
 	newJobs := map[*job]bool{}
 	for _, j := range b.newJobs {
-		newJobs[j] = !j.inInbox
+		newJobs[j] = !j.inInbox()
 	}
 	for i, j := range b.jobs {
 		b.requeue(i)
 		if newJobs[j] {
 			s.removeUnstored(j)
-			j.reply(result.Errorf(result.JobRefused, "the store refused the commit with the job"))
+			j.reject(result.Errorf(result.JobRefused, "the store refused the commit with the job"))
 		}
 	}
 	s.wakeCommitLoop()
@@ -448,7 +449,6 @@
 func (b *batch) requeue(i int) {
 	j := b.jobs[i]
 	j.dirty, j.shortRow = true, false
-	j.waiters = append(j.waiters, b.waiters[i]...)
 	for h, e := range b.ends[i] {
 		j.recordUnstoredEnd(h, e)
 	}
@@ -511,13 +511,8 @@
 		}
 	}
 	for i, j := range b.jobs {
-		j.stored, j.durableState, j.holds = true, b.states[i], 0
-		for _, w := range b.waiters[i] {
-			w <- nil
-		}
-		if !j.dirty {
-			j.reply(nil) // callers that came while the commit was in flight
-		}
+		j.stored, j.durableState, j.durableCommits, j.holds = true, b.states[i], b.commits[i], 0
+		j.confirm()
 		if j.durableState.Final() && !j.dirty && j.placed() == 0 {
 			j.tasks = map[int][]*task{} // no run of it is left
 		}
--- a/internal/dispatch/inbox.go
+++ b/internal/dispatch/inbox.go
@@ -113,9 +113,9 @@
 	if j == nil {
 		j = s.admit(a, fasterShard)
 	}
-	j.inInbox = true
+	j.submitInInbox = true
 	s.submitWithdrawn(j)
-	j.reply(nil) // the inbox row is durable and is deleted only by a commit that stores the job
+	j.confirm()
 	s.inboxToDelete[r.Key] = true
 }
 
@@ -133,7 +133,11 @@
 	case j != nil:
 		s.cancelJob(j)
 	case !s.unreadable[id]:
-		s.addWithdrawn(id).inInbox = true // the row is deleted only by a commit that stores its effect
+		j = s.addWithdrawn(id)
+	}
+	if j != nil {
+		j.cancelInInbox = true
+		j.confirm()
 	}
 	s.inboxToDelete[key] = true
 }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -34,7 +34,10 @@
 	durableState     workload.State  // the last durable state
 	stored           bool            // the accepted row is durable
 	sentToStore      bool            // a commit with the accepted row was sent
-	inInbox          bool            // the job lies in the inbox: it is accepted and must not be dropped
+	submitInInbox    bool            // an inbox row holds the job: it is accepted and must not be dropped
+	cancelInInbox    bool            // an inbox row holds its cancellation
+	commits          int             // how often its rows were added to a commit
+	durableCommits   int             // the number of the last such commit that is durable
 	movedHere        bool            // it came from another shard and must not be moved again
 	delivering       bool            // it is being delivered to another shard
 	cancelKey        string          // inbox key of a cancellation to forward after the job
@@ -47,7 +50,7 @@
 	hasRun           bool            // a run has been seen at some time
 	outcomeSeen      bool            // whether it was in time has been counted
 	begunAt          time.Duration   // when its first task was placed here, 0 for never
-	waiters          []chan<- error  // callers that wait for the next commit
+	waiters          []waiter        // callers that wait until what they have asked for is stored
 	waitLoggedAt     time.Duration   // when the wait of its tasks was last logged
 	advice           map[stepKey]*advice
 	loan             *workload.Loan           // set if the job is a task that another shard has lent to this one
--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -402,7 +402,7 @@
 	}
 	// Only a commit shows that this is still the owner: a former one may not know the loan.
 	j.dirty = true
-	return s.awaitCommit(ctx, j)
+	return s.await(ctx, j, change)
 }
 
 // takeBack records the progress of a task, or of a gang by its first member, that its borrower
--- a/internal/dispatch/malformed_commit.go
+++ b/internal/dispatch/malformed_commit.go
@@ -57,9 +57,9 @@
 // hold keeps a job whose rows the store has rejected out of commits for a while. A job that was never
 // stored is refused instead.
 func (s *Shard) hold(j *job, err error) {
-	if !j.stored && !j.inInbox {
+	if !j.stored && !j.inInbox() {
 		s.removeUnstored(j)
-		j.reply(result.Wrap(result.JobTooLarge, err, "the store rejects the rows of the job"))
+		j.reject(result.Wrap(result.JobTooLarge, err, "the store rejects the rows of the job"))
 		return
 	}
 	j.heldUntil = s.now() + min(holdMin<<j.holds, holdMax)
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -247,18 +247,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, j := range s.jobs {
-		j.reply(result.Errorf(result.OutcomeUnknown, "the shard stopped before the commit was confirmed"))
+		j.reject(result.Errorf(result.OutcomeUnknown, "the shard stopped before the commit was confirmed"))
 	}
 }
 
-// reply gives err to the callers that wait for a commit of the job.
-func (j *job) reply(err error) {
-	for _, w := range j.waiters {
-		w <- err
-	}
-	j.waiters = nil
-}
-
 // isUnreadable reports whether a stored row of a job is not readable.
 func (s *Shard) isUnreadable(id string) bool {
 	s.mu.Lock()
@@ -353,7 +345,7 @@
 		return nil, nil
 	}
 	s.cancelJob(j)
-	return nil, s.awaitCommit(ctx, j)
+	return nil, s.await(ctx, j, cancellation)
 }
 
 // cancelJob cancels j unless it has ended. The caller holds the lock.
--- a/internal/dispatch/withdraw.go
+++ b/internal/dispatch/withdraw.go
@@ -28,9 +28,7 @@
 // awaitWithdrawn returns the code JobUnknown once j, which is withdrawn, is stored. The caller holds the lock,
 // which awaitWithdrawn releases.
 func (s *Shard) awaitWithdrawn(ctx context.Context, j *job) error {
-	if j.stored {
-		s.mu.Unlock()
-	} else if err := s.awaitCommit(ctx, j); err != nil {
+	if err := s.await(ctx, j, cancellation); err != nil {
 		return err
 	}
 	return errUnknown(j.spec.ID)
