node: a submission is not accepted because its cancellation is stored

What callers saw: without an owner of the shard, a job whose cancellation lay in the inbox, or that was stored as withdrawn, was answered 2xx when its submission came, and a GET after it 410: nothing of the submission was stored.

Cause: the write of an inbox row whose conditions fail was taken for one that had been made before. The conditions of a submission also exclude the rows of its cancellation, which the answer did not look for.

Change: a submission whose write is excluded looks at the store's rows of the job. It is accepted if they hold it, refused (not run, and it never will) if they hold only its cancellation, and unknown if they cannot be read. The owner, once there is one, stores it as cancelled and accepts it, as before.

--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -163,24 +163,41 @@
 	if a.AtMillis == 0 {
 		a.AtMillis = int64(n.storeNow())
 	}
-	return n.writeInbox(ctx, dispatch.SubmitToInbox(shard, a))
+	applied, err := n.writeInbox(ctx, dispatch.SubmitToInbox(shard, a))
+	if err != nil || applied {
+		return err
+	}
+	// The job is stored, or only its cancellation: either excludes the write.
+	switch reply := n.replyFromStore(ctx, shard, a.Spec.ID, methodState); reply.Code {
+	case result.OK:
+		return nil
+	case result.JobUnknown:
+		return result.Errorf(result.JobRefused, "job %s was cancelled before it was stored", a.Spec.ID)
+	default:
+		return result.Wrap(result.OutcomeUnknown, reply.err(), "look for the stored job")
+	}
 }
 
-// writeInbox commits tx. A failed condition is no error: the same row was stored
-// before, or the cancellation of the job.
-func (n *Node) writeInbox(ctx context.Context, tx fleet.Tx) error {
+// cancelInInbox stores a cancellation in the shard's inbox. If the row is there already, it stores the same.
+func (n *Node) cancelInInbox(ctx context.Context, shard, id string) error {
+	_, err := n.writeInbox(ctx, dispatch.CancelInInbox(shard, id))
+	return err
+}
+
+// writeInbox commits tx and reports whether its conditions held.
+func (n *Node) writeInbox(ctx context.Context, tx fleet.Tx) (applied bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	res, err := n.deps.Store.Commit(ctx, tx)
 	n.recordStoreResult(err)
 	if err == nil {
 		n.observeStoreClock(res.Clock)
-		return nil
+		return res.Applied, nil
 	}
 	if contract.OutcomeOf(err) == contract.Refused {
-		return result.Wrap(result.PlatformRefused, err, "write inbox row")
+		return false, result.Wrap(result.PlatformRefused, err, "write inbox row")
 	}
-	return result.Wrap(result.OutcomeUnknown, err, "write inbox row")
+	return false, result.Wrap(result.OutcomeUnknown, err, "write inbox row")
 }
 
 // State implements fleet.Jobs.
@@ -299,7 +316,7 @@
 			return replyOf(result.Errorf(result.NotReady, "the owner's memory is full"))
 		}
 		// A submission without a response may still be carried out.
-		if err := n.writeInbox(ctx, dispatch.CancelInInbox(shard, id)); err != nil {
+		if err := n.cancelInInbox(ctx, shard, id); err != nil {
 			return replyOf(err)
 		}
 		return unknown
@@ -318,7 +335,7 @@
 		return unknown
 	case method == methodCancel:
 		// The owner forwards it if the job has moved to another shard.
-		reply = replyOf(n.writeInbox(ctx, dispatch.CancelInInbox(shard, id)))
+		reply = replyOf(n.cancelInInbox(ctx, shard, id))
 	default:
 		reply.State = rec.State
 	}
--- a/internal/node/withdrawn_test.go
+++ b/internal/node/withdrawn_test.go
@@ -55,3 +55,45 @@
 		}
 	})
 }
+
+// TestSubmissionBehindItsCancellation: nobody owns the shard, and the store holds the cancellation of a job that was not
+// known. It guards against a submission that is accepted because the cancellation is stored.
+func TestSubmissionBehindItsCancellation(t *testing.T) {
+	const id = "00000000000000aa"
+	spec := workload.Spec{ID: id, Queue: "q", Steps: []workload.Step{{Tasks: 1, Needs: resource.Vector{MilliCPU: 100}}}}
+	inbox := func(t *testing.T, store *fleetfake.Store, shard string) {
+		if _, err := store.Commit(t.Context(), dispatch.CancelInInbox(shard, id)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, c := range []struct {
+		name  string
+		store func(t *testing.T, store *fleetfake.Store, shard string)
+		want  result.Code
+	}{
+		{"nothing", func(*testing.T, *fleetfake.Store, string) {}, result.OK},
+		{"cancellation", inbox, result.JobRefused},
+		{"withdrawn", func(t *testing.T, store *fleetfake.Store, shard string) {
+			put(t, store, shard, dispatch.TableAccepted, id, workload.Accepted{Spec: workload.Spec{ID: id}})
+			put(t, store, shard, dispatch.TableProgress, id, workload.Record{State: workload.Withdrawn})
+		}, result.JobRefused},
+		{"job", func(t *testing.T, store *fleetfake.Store, shard string) {
+			put(t, store, shard, dispatch.TableInbox, dispatch.InboxSubmit+id, workload.Accepted{Spec: spec})
+			inbox(t, store, shard)
+		}, result.OK},
+		{"running job", func(t *testing.T, store *fleetfake.Store, shard string) {
+			put(t, store, shard, dispatch.TableAccepted, id, workload.Accepted{Spec: spec})
+			put(t, store, shard, dispatch.TableProgress, id, workload.Record{State: workload.Running})
+		}, result.OK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			store := fleetfake.NewStore()
+			n := nodeWithoutPeers(t, store)
+			n.recordStoreResult(nil) // it reaches the store
+			c.store(t, store, n.layout.Load().HomeShard(id))
+			if err := n.Submit(t.Context(), &fleet.Queue{Name: "q"}, spec); result.Of(err) != c.want {
+				t.Errorf("%v, want code %d", err, c.want)
+			}
+		})
+	}
+}
