dispatch: accepted jobs are judged by the terms of their acceptance

What callers saw: a job was accepted on a route with four attempts, and shown as failed after two, as they ended while a configuration without the route was in force; it stayed failed when the route was back. Jobs of a dropped route with further steps, or tasks that last, were never started again.

Cause: an accepted job held only the name of its queue, and everything else was looked up in the configuration in force each time: where it did not name the queue, or none had been read yet, two attempts were taken, and nothing was placed, moved or lent.

TestPromisedAttempts on the unchanged code: 19 of 30 cases failed, among them drops with and without a takeover, cold starts without a configuration, fewer attempts in force, rows of the version before. TestAttemptsUsedUpWithoutTerms: failed before its attempts were known.

Change: a job keeps the terms of its acceptance (service, priority, attempts, slack, target, advice), which the instance adds that takes the request. They are part of the specification, so that they go into the inbox, to other shards and owners, and with loans. terms.go decides what they are used for: attempts follow from them alone; how a job is run follows from the configuration in force, and from the terms if that does not name the queue. A row of an earlier version takes terms from the first configuration that names its queue, and stores them; until then its job is not judged, and no task of it starts, as that might be one attempt too many. An instance of an earlier version ignores the new field.

A row grows by 46 bytes, by 82 with advice (service name of five letters). The fallback of two attempts is left for queues whose configuration states none.

--- a/internal/dispatch/accept.go
+++ b/internal/dispatch/accept.go
@@ -106,6 +106,7 @@
 func (s *Shard) admit(a workload.Accepted, fasterShard string) *job {
 	spec := &a.Spec
 	j := newJob(&a)
+	s.adoptTerms(j)
 	j.dirty = true
 	if !spec.Timed() {
 		j.createTasks(0, s.now())
@@ -122,7 +123,7 @@
 	if fasterShard != "" {
 		s.markMoved(j, fasterShard)
 	} else {
-		s.cachedLoad.Add(spec, s.serviceOf(spec.Queue)) // the cached load is used until it is computed anew
+		s.cachedLoad.Add(spec, s.serviceOf(j)) // the cached load is used until it is computed anew
 	}
 	return j
 }
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -144,16 +144,12 @@
 
 // queueByName returns the configured queue of that name, or nil.
 func (s *Shard) queueByName(name string) *fleet.Queue {
-	cfg := s.cfg.Config()
-	if cfg == nil {
-		return nil
-	}
-	return cfg.QueueByName(name)
+	return configuredQueue(s.cfg.Config(), name)
 }
 
-// serviceOf returns the service of the queue of that name, or "" if it is not configured.
-func (s *Shard) serviceOf(queue string) string {
-	if q := s.queueByName(queue); q != nil {
+// serviceOf returns the service whose workers run j, or "" if its queue is not known.
+func (s *Shard) serviceOf(j *job) string {
+	if q := queueOf(s.cfg.Config(), j); q != nil {
 		return q.Service
 	}
 	return ""
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -73,7 +73,7 @@
 	if !j.active() || t.Phase != workload.Pending {
 		return
 	}
-	exhausted := !t.step.LongRunning && t.attempts().Failures >= s.maxAttempts(j)
+	exhausted := t.exhausted()
 	switch {
 	case j.loan != nil && (exhausted || t.attempts().AtStart >= maxCrashes):
 		j.returnLoan()
--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -175,7 +175,7 @@
 	l.Empty = len(l.Kinds) == 0
 	l.FreeWorkers, l.SpareWorkers = trimListed(l.FreeWorkers, len(l.Kinds)), trimListed(l.SpareWorkers, len(l.Kinds))
 	for _, j := range s.jobs {
-		service := s.serviceOf(j.spec.Queue)
+		service := s.serviceOf(j)
 		for k := range j.tasks {
 			for step := range j.spec.Steps {
 				l.addStep(j, service, k, step)
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"skylarkport/internal/contract"
@@ -75,6 +76,7 @@
 	states       []workload.State           // the state of each of jobs that it stores
 	commits      []int                      // the number of this commit among those of each of jobs
 	newJobs      []*job                     // jobs that it stores for the first time
+	accepted     []*job                     // jobs whose accepted row it stores in full
 	starts       []*task                    // runs to start
 	appliedEnds  map[*host]incarnationEnd   // the last run end of each worker that it includes
 	inboxKeys    []string                   // keys of the inbox rows that it deletes
@@ -228,6 +230,10 @@
 	if !j.stored {
 		rows = append(rows, fleet.Row{Table: TableAccepted, Key: j.spec.ID, Value: workload.Encode(j.accepted())})
 	}
+	termsRow := s.termsRow(j)
+	if termsRow != nil {
+		rows = append(rows, fleet.Row{Table: TableAccepted, Key: j.spec.ID, Value: termsRow})
+	}
 	shorten := j.stored && j.hasLongRow()
 	if shorten {
 		rows = append(rows, fleet.Row{Table: TableAccepted, Key: j.spec.ID, Value: workload.Encode(j.shortAccepted())})
@@ -245,6 +251,10 @@
 		b.newJobs = append(b.newJobs, j)
 		j.sentToStore = true
 	}
+	if !j.stored || termsRow != nil {
+		b.accepted = append(b.accepted, j)
+		j.storedTerms = j.spec.Terms
+	}
 	j.shortRow = j.shortRow || shorten
 	j.dirty = false
 	b.jobs = append(b.jobs, j)
@@ -449,6 +459,9 @@
 func (b *batch) requeue(i int) {
 	j := b.jobs[i]
 	j.dirty, j.shortRow = true, false
+	if slices.Contains(b.accepted, j) {
+		j.storedTerms = nil
+	}
 	for h, e := range b.ends[i] {
 		j.recordUnstoredEnd(h, e)
 	}
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -7,10 +7,6 @@
 	"skylarkport/internal/workload"
 )
 
-// defaultAttempts is used for jobs of a queue that the configuration no longer names. It is
-// the smallest number in the users' configurations.
-const defaultAttempts = 2
-
 // failureBackoff delays the restart of a failed task, so that a worker on which every run
 // fails is quarantined before the task has used up its attempts.
 const failureBackoff = 30 * time.Millisecond
@@ -115,14 +111,6 @@
 	}
 }
 
-// maxAttempts is the number of failures of a task after which its job fails.
-func (s *Shard) maxAttempts(j *job) int {
-	if q := s.queueByName(j.spec.Queue); q != nil && q.Attempts > 0 {
-		return q.Attempts
-	}
-	return defaultAttempts
-}
-
 const (
 	// quarantineFailures is how many consecutive failures, by different jobs, quarantine a
 	// worker. One in twenty tasks fails by its own fault, so three in a row occur by chance
--- a/internal/dispatch/handoff.go
+++ b/internal/dispatch/handoff.go
@@ -123,7 +123,7 @@
 	for _, j := range b.jobs {
 		j.storedVersion = version
 	}
-	for _, j := range b.newJobs {
+	for _, j := range b.accepted {
 		j.acceptedVersion = version
 	}
 	for _, id := range b.droppedJobs {
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -28,6 +29,7 @@
 	rows        fleet.Store // the store as owners see it, if not store itself
 	workers     *fleetfake.Workers
 	config      *fleet.Config
+	inForce     *atomic.Pointer[func() *fleet.Config] // replaces config if set
 	owner       atomic.Pointer[Shard]
 	mu          sync.Mutex // guards the following: faults replace owners
 	epoch       int64
@@ -61,6 +63,7 @@
 // newTestCluster returns a cluster without workers and owner.
 func newTestCluster(t *testing.T, name string) *testCluster {
 	tc := &testCluster{t: t, name: name, began: time.Now(), store: fleetfake.NewStore(), leaseMax: fleetfake.LeaseMax}
+	tc.inForce = &atomic.Pointer[func() *fleet.Config]{}
 	tc.ctx, tc.cancel = context.WithCancel(context.Background())
 	tc.workers = fleetfake.NewWorkers(tc.store)
 	tc.config = &fleet.Config{Version: 1, Queues: []fleet.Queue{
@@ -78,6 +81,28 @@
 	}
 }
 
+// configInForce returns the configuration that owners see.
+func (tc *testCluster) configInForce() *fleet.Config {
+	if f := tc.inForce.Load(); f != nil {
+		return (*f)()
+	}
+	return tc.config
+}
+
+// setConfig puts a configuration in force, nil for none yet.
+func (tc *testCluster) setConfig(c *fleet.Config) {
+	f := func() *fleet.Config { return c }
+	tc.inForce.Store(&f)
+}
+
+// configWithout returns the configuration of the cluster without a queue.
+func (tc *testCluster) configWithout(queue string) *fleet.Config {
+	c := *tc.config
+	c.Version++
+	c.Queues = slices.DeleteFunc(slices.Clone(c.Queues), func(q fleet.Queue) bool { return q.Name == queue })
+	return &c
+}
+
 // shard returns the shard of the present owner.
 func (tc *testCluster) shard() *Shard { return tc.owner.Load() }
 
@@ -122,7 +147,7 @@
 		Bounds: Bounds{LeaseMax: tc.leaseMax, GangWait: 3 * time.Second, EndedRetention: 2 * time.Minute, MaxOverTarget: 4 * time.Second},
 		Store:  rows, Workers: tc.workers, Registry: tc.workers, Adviser: tc.adviser,
 		Zones:          ZoneSettings{Source: tc.workers, Known: []string{"a", "b", "c", "s"}, Bound: tc.zoneBound},
-		Config:         func() *fleet.Config { return tc.config },
+		Config:         tc.configInForce,
 		BelongsToShard: func(w fleet.Worker) bool { return w.Zone == tc.name },
 		SteadyClock:    func() time.Duration { return time.Since(tc.began) + time.Hour },
 		WallClock:      func(c fleet.Clock) time.Time { return time.UnixMilli(int64(c)) },
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -26,6 +26,8 @@
 	spec             workload.Spec
 	record           workload.Record
 	acceptedAt       fleet.Clock     // on the store's clock
+	acceptedQueue    *fleet.Queue    // by the terms of the acceptance; nil until it is needed
+	storedTerms      *workload.Terms // those in the accepted row, which the job may have got later
 	observedMillis   []int64         // per step, the milliseconds that an uninterrupted run of a task took; 0 if unknown
 	expectedEnd      time.Duration   // when admission expected it to end, 0 if it did not decide about it
 	due              time.Duration   // by when it had to end to be in time, if expectedEnd is set
--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -222,7 +222,7 @@
 	step := *t.step
 	step.Tasks, step.After = len(gang), nil
 	return workload.Accepted{
-		Spec:     workload.Spec{ID: loan.ID(), Queue: t.job.spec.Queue, Payload: t.job.spec.Payload, Steps: []workload.Step{step}},
+		Spec:     workload.Spec{ID: loan.ID(), Queue: t.job.spec.Queue, Payload: t.job.spec.Payload, Steps: []workload.Step{step}, Terms: t.job.spec.Terms},
 		AtMillis: int64(t.job.acceptedAt), Loan: loan,
 	}
 }
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -103,7 +103,7 @@
 		return
 	}
 	j := newJob(&a)
-	j.stored = true
+	j.stored, j.storedTerms = true, a.Spec.Terms
 	s.jobs[r.Key] = j
 	s.registerLoan(j)
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -108,7 +108,7 @@
 		q := queueOf(cfg, c.job)
 		if q == nil {
 			p.s.replanAt(p.now + missingQueueRetry)
-			continue // the queue is not configured: its tasks wait until it is
+			continue // neither the queue nor the terms of the job are known: its tasks wait until one is
 		}
 		p.placeCandidate(c, q)
 	}
@@ -126,14 +126,6 @@
 	}
 }
 
-// queueOf returns the configured queue of j, or nil.
-func queueOf(cfg *fleet.Config, j *job) *fleet.Queue {
-	if cfg == nil {
-		return nil
-	}
-	return cfg.QueueByName(j.spec.Queue)
-}
-
 // startDueOccurrences creates the tasks of the occurrences that are due, as far as the job has room for
 // them.
 func (s *Shard) startDueOccurrences(now time.Duration) {
@@ -225,6 +217,9 @@
 		if !j.active() {
 			continue
 		}
+		if s.adoptTerms(j); !j.active() {
+			continue
+		}
 		q := queueOf(cfg, j)
 		for k := range j.tasks {
 			out = s.occurrenceCandidates(out, j, k, q, now)
--- a/internal/node/balance.go
+++ b/internal/node/balance.go
@@ -71,14 +71,9 @@
 	return shard, true
 }
 
-// selector returns a selector with the present loads, or nil if the job's queue is not
-// configured.
+// selector returns a selector with the present loads, or nil if the job's queue is not known.
 func (o *otherShards) selector(j *workload.Spec) *dispatch.ShardSelector {
-	cfg := o.node.Config()
-	if cfg == nil {
-		return nil
-	}
-	q := cfg.QueueByName(j.Queue)
+	q := dispatch.QueueOf(o.node.Config(), j)
 	if q == nil {
 		return nil
 	}
@@ -91,7 +86,7 @@
 func (o *otherShards) Borrower(r *dispatch.LoanRequest) (shard, why string) {
 	c := o.selector(&r.Spec)
 	if c == nil {
-		return "", "queue not configured"
+		return "", "queue not known"
 	}
 	if name := o.node.peers.withoutLoans(&r.Spec.Steps[0]); name != "" {
 		return "", "instance " + name + " knows no loans"
--- a/internal/node/encoding_test.go
+++ b/internal/node/encoding_test.go
@@ -27,6 +27,7 @@
 		"row/layout":            &Layout{},
 		"row/owner":             &ownerRow{},
 		"row/job":               &workload.Accepted{},
+		"row/job-terms":         &workload.Accepted{},
 		"row/loan":              &workload.Accepted{},
 		"row/progress":          &workload.Record{},
 		"row/interference":      &colocation.Estimates{},
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -41,6 +41,7 @@
 	if err := spec.Validate(); err != nil {
 		return err
 	}
+	spec.Terms = q.Terms()
 	bounds := n.bounds()
 	if err := bounds.CheckSize(&workload.Accepted{Spec: spec}); err != nil {
 		return err
--- a/internal/workload/spec.go
+++ b/internal/workload/spec.go
@@ -70,6 +70,7 @@
 	Payload  string   `json:"payload"` // passed to every task unchanged
 	Steps    []Step   `json:"steps"`
 	Schedule Schedule `json:"schedule,omitzero"`
+	Terms    *Terms   `json:"terms,omitempty"` // under which the job was accepted; nil if they are not known
 }
 
 // Occurrences returns how many times the steps run.
@@ -115,6 +116,9 @@
 	if err := s.Schedule.validate(); err != nil {
 		return err
 	}
+	if err := s.Terms.validate(); err != nil {
+		return err
+	}
 	tasks := 0
 	for i := range s.Steps {
 		if err := s.Steps[i].validate(i); err != nil {
