dispatch: a held job in the inbox does not keep the commit loop busy

What callers saw: nothing at once; the owner of the shard used its processor to the full for as long as a job was held back, 1 to 30 s at a time.

Cause: an inbox row stays until the commit that stores its job, and buildBatch asked for another commit at once as long as one stayed. A job that is held back, as the store has rejected its rows, is in no batch; the empty cycle that follows asks for the next one, and no pause is made between empty cycles.

TestHeldJobInTheInbox on the code before: another commit is due before the job is held back no more.

Change: a row whose job is held back asks for no commit; the heartbeat's timer ends the wait.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -169,10 +169,14 @@
 	}
 	full := s.addJobsToBatch(b)
 	for key := range s.inboxToDelete {
-		if id := inboxJobID(key); s.jobs[id] != nil && s.jobs[id].dirty || len(b.inboxKeys) >= maxBatchJobs/4 {
-			full = true
+		if j := s.jobs[inboxJobID(key)]; j != nil && j.dirty {
+			full = full || s.now() >= j.heldUntil
 			continue // the row is deleted by the commit that stores its effect, or a later one
 		}
+		if len(b.inboxKeys) >= maxBatchJobs/4 {
+			full = true
+			break
+		}
 		b.tx.Delete = append(b.tx.Delete, fleet.Row{Table: TableInbox, Key: key})
 		b.inboxKeys = append(b.inboxKeys, key)
 	}
--- a/internal/dispatch/malformed_test.go
+++ b/internal/dispatch/malformed_test.go
@@ -92,3 +92,32 @@
 		}
 	})
 }
+
+// TestHeldJobInTheInbox: the store has rejected the rows of a job whose inbox row is still there. It guards against a commit
+// loop that wakes itself without a pause for as long as the job is held back.
+func TestHeldJobInTheInbox(t *testing.T) {
+	f := newFixture(1)
+	j := f.add("aa", "short", workload.Step{})
+	j.dirty, j.submitInInbox, j.heldUntil = true, true, f.now+holdMin
+	f.inboxToDelete[InboxSubmit+"aa"] = true
+	if awakened(f); len(f.buildBatch().inboxKeys) > 0 {
+		t.Error("the inbox row is deleted before the job is stored")
+	}
+	if awakened(f) {
+		t.Error("another commit is due before the job is held back no more")
+	}
+	f.now += holdMin
+	if b := f.buildBatch(); len(b.jobs) != 1 || len(b.inboxKeys) != 1 {
+		t.Errorf("%d jobs and %d inbox rows in the batch, want 1 and 1", len(b.jobs), len(b.inboxKeys))
+	}
+}
+
+// awakened reports whether the commit loop was awakened since the last call.
+func awakened(f *fixture) bool {
+	select {
+	case <-f.wake:
+		return true
+	default:
+		return false
+	}
+}
