dispatch: walks cancel beside lost answers and kills, and change queues beside takeovers

Why the walks missed both faults: they cancelled only jobs that were accepted, or not known at all, waited for the answer before they went on, and killed no owner because of it; a submission went either to the owner or to the inbox, not to both as it does after an answer is lost. Their configuration never changed, and it allowed 20 attempts, so that no job could show by what it was judged.

Added: promiseWalk, whose events come beside those of both walks of TestFeatureWalk, from random numbers of their own, so that the other events stay as they were. Jobs are submitted to the owner and to the inbox, with commits of them that get no answer, and cancelled meanwhile; in two of three cases the owner is killed when that is answered. Queues are dropped, or allow one attempt, or no configuration is known, and are restored, beside killed owners, while two runs of each task of some jobs fail. No start may be sent later than 3 s after an acknowledged cancellation, none at all after the answer that there is no such job, and all accepted jobs must complete.

Harness: owners are replaced by several faults at a time, so that its mutex lets virtual time pass, an end can be awaited more than once, and a fault may find that an owner is being killed. The walks' jobs carry terms, as an instance that takes a request adds them.

--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -75,6 +75,9 @@
 	old, ended := tc.cancelOwner, tc.ended
 	tc.mu.Unlock()
 	tc.takeOver()
+	if old == nil {
+		return // it was being killed
+	}
 	go func() {
 		<-ended
 		old()
--- a/internal/dispatch/feature_walk_test.go
+++ b/internal/dispatch/feature_walk_test.go
@@ -44,24 +44,26 @@
 // beside each other under random faults, several at a time. All accepted jobs must complete, no task may run
 // twice at a time or after its success, and no timed job before its time. The walks of series shards lose zones, labels
 // and shards, cancel jobs beside late writes, and cut off workers that have started again under their ids; there,
-// no job may start after the answer that there is none. A longer run:
+// no job may start after the answer that there is none. Beside both, jobs are cancelled while answers are lost and owners
+// killed, and queues are dropped and restored beside takeovers; see promiseWalk. A longer run:
 //
 //	go test ./internal/dispatch -run '^TestFeatureWalk$' -feature-first 1000 -feature-seeds 300
 func TestFeatureWalk(t *testing.T) {
 	for i := range uint64(*featureSeeds) {
 		seed := *featureFirst + i
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			withCluster(t, 10, func(tc *testCluster) { walkFeatures(tc, rand.New(rand.NewPCG(seed, 3))) })
+			withCluster(t, 10, func(tc *testCluster) { walkFeatures(tc, seed) })
 		})
 		t.Run(fmt.Sprint("shards/", seed), func(t *testing.T) {
 			withShards(t, []int{workersPerWalkShard, workersPerWalkShard, workersPerWalkShard}, func(net *shardNet) {
-				newShardWalk(net, rand.New(rand.NewPCG(seed, 11))).run()
+				newShardWalk(net, seed).run()
 			})
 		})
 	}
 }
 
-func walkFeatures(tc *testCluster, r *rand.Rand) {
+func walkFeatures(tc *testCluster, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 3))
 	tc.config.Services = []fleet.Service{{Name: "svc", ChecksCapacity: r.IntN(2) == 0}}
 	for i := range tc.config.Queues {
 		tc.config.Queues[i].Attempts = 20 // faults of workers use up attempts; none must end a job
@@ -77,6 +79,7 @@
 		}
 		return time.Duration(200+100*(len(task)+int(task[len(task)-1]))%1500) * time.Millisecond
 	})
+	promises := newPromiseWalk(rand.New(rand.NewPCG(seed, 59)), tc)
 	tc.waitForWorkers()
 	faults := append(append([]faultScenario(nil), faultScenarios...), featureFaults...)
 	var ids []string
@@ -84,8 +87,10 @@
 		f := faults[r.IntN(len(faults))]
 		f.begin(tc)
 		time.AfterFunc(time.Duration(r.IntN(6000))*time.Millisecond, func() { f.end(tc) })
+		promises.step()
 		for k := range r.IntN(4) {
 			spec := featureJob(tc, r, fmt.Sprint(i, "-", k))
+			spec.Terms = tc.config.QueueByName(spec.Queue).Terms() // by the instance that takes the request
 			tc.submit(spec)
 			if !spec.LongRunning() {
 				ids = append(ids, spec.ID)
@@ -97,6 +102,7 @@
 	for _, f := range faults {
 		f.end(tc)
 	}
+	promises.end()
 	for i := range 10 {
 		id := fmt.Sprintf("w%02d", i)
 		tc.workers.SetUnreachable(id, false)
@@ -107,6 +113,7 @@
 	for _, id := range ids {
 		tc.await(id, workload.Completed, 2*time.Minute)
 	}
+	promises.check(2 * time.Minute)
 }
 
 // featureJob returns a job of a random kind. The first letter of its id tells the fake workers of which.
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -31,7 +30,7 @@
 	config      *fleet.Config
 	inForce     *atomic.Pointer[func() *fleet.Config] // replaces config if set
 	owner       atomic.Pointer[Shard]
-	mu          sync.Mutex // guards the following: faults replace owners
+	mu          bubbleMutex // guards the following: faults replace owners
 	epoch       int64
 	cancelOwner context.CancelFunc
 	ended       chan error
@@ -42,6 +41,12 @@
 	prefetch    bool          // a new owner reads the rows up to 3 s before its claim; every other old one hands off
 }
 
+// bubbleMutex is a mutex in virtual time, which goes on while callers wait for it.
+type bubbleMutex chan struct{}
+
+func (m bubbleMutex) Lock()   { m <- struct{}{} }
+func (m bubbleMutex) Unlock() { <-m }
+
 // withCluster runs f with n workers of 8 cores, two to a rack.
 func withCluster(t *testing.T, n int, f func(tc *testCluster)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -62,7 +67,7 @@
 
 // newTestCluster returns a cluster without workers and owner.
 func newTestCluster(t *testing.T, name string) *testCluster {
-	tc := &testCluster{t: t, name: name, began: time.Now(), store: fleetfake.NewStore(), leaseMax: fleetfake.LeaseMax}
+	tc := &testCluster{t: t, name: name, mu: make(bubbleMutex, 1), began: time.Now(), store: fleetfake.NewStore(), leaseMax: fleetfake.LeaseMax}
 	tc.inForce = &atomic.Pointer[func() *fleet.Config]{}
 	tc.ctx, tc.cancel = context.WithCancel(context.Background())
 	tc.workers = fleetfake.NewWorkers(tc.store)
@@ -204,7 +209,10 @@
 	cfg := tc.settings()
 	cfg.Epoch, cfg.OwnerRow, cfg.Prefetched, cfg.Handoff = tc.epoch, res.Version, p, h
 	s := New(cfg)
-	go func() { ended <- s.Run(ctx) }()
+	go func() {
+		defer close(ended) // several faults may wait for the end
+		ended <- s.Run(ctx)
+	}()
 	tc.owner.Store(s)
 	tc.cancelOwner, tc.ended = cancel, ended
 }
--- a/internal/dispatch/lend_test.go
+++ b/internal/dispatch/lend_test.go
@@ -57,7 +57,7 @@
 			name := string(rune('a' + i))
 			tc := first
 			if i > 0 {
-				tc = &testCluster{t: t, name: name, began: first.began, store: first.store, workers: first.workers, config: first.config, inForce: first.inForce, ctx: first.ctx, leaseMax: first.leaseMax}
+				tc = &testCluster{t: t, name: name, mu: make(bubbleMutex, 1), began: first.began, store: first.store, workers: first.workers, config: first.config, inForce: first.inForce, ctx: first.ctx, leaseMax: first.leaseMax}
 			}
 			tc.others = &view{net, name}
 			tc.addWorkers(name, n)
--- a/internal/dispatch/shard_walk_test.go
+++ b/internal/dispatch/shard_walk_test.go
@@ -23,6 +23,8 @@
 	gone sync.Map         // ids of workers that don't come back; the ends of faults read it
 	jobs []*workload.Spec // submitted and not cancelled
 
+	promises *promiseWalk
+
 	mu    sync.Mutex // guards the following, which the fake workers read
 	specs map[string]*workload.Spec
 }
@@ -33,8 +35,13 @@
 // walkLabel is the label that some jobs need.
 const walkLabel = "fast"
 
-func newShardWalk(net *shardNet, r *rand.Rand) *shardWalk {
-	w := &shardWalk{net: net, any: net.shards["a"], rand: r, specs: map[string]*workload.Spec{}}
+func newShardWalk(net *shardNet, seed uint64) *shardWalk {
+	w := &shardWalk{net: net, any: net.shards["a"], rand: rand.New(rand.NewPCG(seed, 11)), specs: map[string]*workload.Spec{}}
+	var shards []*testCluster
+	for _, name := range net.names {
+		shards = append(shards, net.shards[name])
+	}
+	w.promises = newPromiseWalk(rand.New(rand.NewPCG(seed, 60)), shards...)
 	net.byLoad, net.moves = true, true
 	for i := range w.any.config.Queues {
 		w.any.config.Queues[i].Attempts = 20 // faults of workers use up attempts; none must end a job
@@ -94,6 +101,7 @@
 			spec.Steps[i].Needs.MilliCPU = 20 // all of them fit on one worker with the label
 		}
 	}
+	spec.Terms = w.any.config.QueueByName(spec.Queue).Terms() // by the instance that takes the request
 	w.specs[spec.ID] = &spec
 	return &spec
 }
@@ -214,6 +222,7 @@
 		f := faults[w.rand.IntN(len(faults))]
 		f.begin(w.net)
 		time.AfterFunc(w.within(9*time.Second), func() { f.end(w.net) })
+		w.promises.step()
 		for range w.rand.IntN(3) {
 			w.submit(w.shard())
 			time.Sleep(w.within(400 * time.Millisecond))
@@ -226,6 +235,7 @@
 	for _, f := range faults {
 		f.end(w.net)
 	}
+	w.promises.end()
 	time.Sleep(5 * time.Second)
 	for range 6 {
 		w.submit(w.shard())
@@ -233,6 +243,7 @@
 	for _, spec := range w.jobs {
 		w.awaitEnd(spec)
 	}
+	w.promises.check(2 * time.Minute)
 }
 
 // loseForGood kills the worker of a shard with the label, all its workers, or none.
--- a/internal/fleetfake/workers.go
+++ b/internal/fleetfake/workers.go
@@ -106,8 +106,9 @@
 	checkpoint          string               // of every run
 	maxReported         int                  // ended runs that a worker reports at a time
 	label               func(task string) string
-	forbidden           map[string]bool // jobs that must not start
-	adviser             *Adviser        // whose ticket the starts of advised tasks need, or nil
+	forbidden           map[string]bool      // jobs that must not start
+	forbiddenSince      map[string]time.Time // jobs of which no start may be sent after that time
+	adviser             *Adviser             // whose ticket the starts of advised tasks need, or nil
 	advised             func(task string) bool
 }
 
@@ -257,6 +258,17 @@
 	w.forbidden[job] = true
 }
 
+// ForbidSince makes the starts of the job's tasks that are sent after the given time a violation, also those that are
+// carried out late.
+func (w *Workers) ForbidSince(job string, at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.forbiddenSince == nil {
+		w.forbiddenSince = map[string]time.Time{}
+	}
+	w.forbiddenSince[job] = at
+}
+
 // SetLabels sets the function that returns the label that the worker of a task must have, "" for none. A
 // start on another worker is a violation.
 func (w *Workers) SetLabels(f func(task string) string) {
@@ -459,6 +471,7 @@
 // Start implements fleet.Workers.
 func (w *Workers) Start(ctx context.Context, start fleet.Start) (fleet.CommandResult, error) {
 	w.checkZone(&start)
+	sent := time.Now()
 	return w.command(ctx, "start", start.Worker, func(fw *fakeWorker, _ bool) fleet.CommandResult {
 		if !fw.acceptToken(start.Token) {
 			return fleet.CommandFenced
@@ -479,7 +492,7 @@
 		if !fw.fits(start.Task) {
 			return fleet.CommandNoCapacity
 		}
-		w.checkStart(fw, start)
+		w.checkStart(fw, start, sent)
 		fw.runs[start.Task] = &run{task: start.Task, number: start.Run, checkpoint: cmp.Or(w.checkpoint, start.Checkpoint), started: time.Now()}
 		w.joinGang(fw.runs[start.Task])
 		w.crashAfterStart(fw, start.Task)
@@ -489,9 +502,13 @@
 
 // checkStart records a violation if the task's success was acknowledged or the task already
 // runs on a worker, and prepares one in case its success is acknowledged later.
-func (w *Workers) checkStart(to *fakeWorker, s fleet.Start) {
+func (w *Workers) checkStart(to *fakeWorker, s fleet.Start, sent time.Time) {
 	w.starts++
-	if job, _, _ := strings.Cut(s.Task, "."); w.forbidden[job] {
+	job, _, _ := strings.Cut(s.Task, ".")
+	if since, ok := w.forbiddenSince[job]; ok && sent.After(since) {
+		w.violations = append(w.violations, fmt.Sprintf("%s run %d sent to %s %s after its job was forbidden", s.Task, s.Run, to.id, sent.Sub(since)))
+	}
+	if w.forbidden[job] {
 		w.violations = append(w.violations, fmt.Sprintf("%s run %d started on %s after its job was forbidden", s.Task, s.Run, to.id))
 	}
 	if w.label != nil {
