dispatch: the cancellation of an unreadable job stays in the inbox

What callers saw: a DELETE was answered 2xx by its inbox row while the owner could not read the job's rows, and the job ran on for the next owner that could.

Cause: the owner deleted the row with its next commit, which stored nothing of the cancellation: such a job has no state to change.

Evidence: TestCancellationOfAnUnreadableJob on the code before: running, where cancelled is wanted.

Change: the row stays until an owner can read the job.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -528,7 +528,7 @@
 		}
 	}
 	for i, j := range b.jobs {
-		j.stored, j.durableState, j.durableCommits, j.holds = true, b.states[i], b.commits[i], 0
+		j.stored, j.durableState, j.durableCommit, j.holds = true, b.states[i], b.commits[i], 0
 		j.confirm()
 		if j.durableState.Final() && !j.dirty && j.placed() == 0 {
 			j.tasks = map[int][]*task{} // no run of it is left
--- a/internal/dispatch/confirm.go
+++ b/internal/dispatch/confirm.go
@@ -61,7 +61,7 @@
 func (j *job) durable() durable {
 	return durable{
 		submitInInbox: j.submitInInbox, cancelInInbox: j.cancelInInbox,
-		rows: j.stored, state: j.durableState, commit: j.durableCommits,
+		rows: j.stored, state: j.durableState, commit: j.durableCommit,
 	}
 }
 
--- a/internal/dispatch/confirm_test.go
+++ b/internal/dispatch/confirm_test.go
@@ -174,3 +174,38 @@
 		}
 	})
 }
+
+// TestCancellationOfAnUnreadableJob: a cancellation was acknowledged by its inbox row, and the owner cannot read the job. It
+// guards against a row that is deleted before a commit stores its effect.
+func TestCancellationOfAnUnreadableJob(t *testing.T) {
+	withCluster(t, 2, func(tc *testCluster) {
+		tc.waitForWorkers()
+		spec := jobWithSteps("00000000000000aa", "short", 1)
+		tc.workers.SetDuration(func(string) time.Duration { return time.Hour })
+		tc.submit(spec)
+		time.Sleep(time.Second)
+		tc.stopOwner()
+		rows, err := tc.store.Range(tc.ctx, TableProgress, tc.name, spec.ID, "", 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		tc.write(fleet.Row{Table: TableProgress, Key: spec.ID, Value: []byte("[")})
+		if _, err := tc.store.Commit(tc.ctx, CancelInInbox(tc.name, spec.ID)); err != nil {
+			t.Fatal(err)
+		}
+		tc.takeOver()
+		time.Sleep(5 * time.Second)
+		tc.stopOwner()
+		tc.write(fleet.Row{Table: TableProgress, Key: spec.ID, Value: rows.Rows[0].Value})
+		tc.takeOver() // this owner can read it
+		tc.await(spec.ID, workload.Cancelled, 5*time.Second)
+	})
+}
+
+// write replaces a row of the shard.
+func (tc *testCluster) write(r fleet.Row) {
+	tc.t.Helper()
+	if _, err := tc.store.Commit(tc.ctx, fleet.Tx{Part: tc.name, Put: []fleet.Row{r}}); err != nil {
+		tc.t.Fatal(err)
+	}
+}
--- a/internal/dispatch/inbox.go
+++ b/internal/dispatch/inbox.go
@@ -129,15 +129,14 @@
 		return
 	}
 	id := inboxJobID(key)
-	switch {
-	case j != nil:
-		s.cancelJob(j)
-	case !s.unreadable[id]:
-		j = s.addWithdrawn(id)
+	if s.unreadable[id] {
+		return // the row stays for an owner that can read the job
 	}
-	if j != nil {
-		j.cancelInInbox = true
-		j.confirm()
+	if j == nil {
+		j = s.addWithdrawn(id)
 	}
+	s.cancelJob(j)
+	j.cancelInInbox = true
+	j.confirm()
 	s.inboxToDelete[key] = true
 }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -39,7 +39,7 @@
 	submitInInbox    bool            // an inbox row holds the job: it is accepted and must not be dropped
 	cancelInInbox    bool            // an inbox row holds its cancellation
 	commits          int             // how often its rows were added to a commit
-	durableCommits   int             // the number of the last such commit that is durable
+	durableCommit    int             // the number of the last such commit that is durable
 	movedHere        bool            // it came from another shard and must not be moved again
 	delivering       bool            // it is being delivered to another shard
 	cancelKey        string          // inbox key of a cancellation to forward after the job
