dispatch: adopted terms are stored at once

What callers saw: a task that lasts, accepted by an earlier version, was not started again after its queue had been dropped and its owner replaced.

Cause: the terms that its owner had taken from the configuration were stored with the next commit of the job, which a job that runs undisturbed does not have.

Evidence: TestAdoptedTermsAreStored on the code before: 0 runs after 20 s.

Change: a job that adopts terms is committed.

--- a/internal/dispatch/terms.go
+++ b/internal/dispatch/terms.go
@@ -53,7 +53,7 @@
 	if q == nil {
 		return
 	}
-	j.spec.Terms = q.Terms()
+	j.spec.Terms, j.dirty = q.Terms(), true // the next owner may find no configuration that names the queue
 	logger.WithField("job", j.spec.ID).WithField("shard", s.cfg.Name).WithField("queue", q.Name).
 		WithField("attempts", j.spec.Terms.Attempts).Info("job without terms takes those of its queue")
 	for _, tasks := range j.tasks {
--- a/internal/dispatch/terms_test.go
+++ b/internal/dispatch/terms_test.go
@@ -23,10 +23,7 @@
 			tc.t.Fatal(err)
 		}
 		a.Spec.Terms = nil
-		put := fleet.Row{Table: TableAccepted, Key: r.Key, Value: workload.Encode(a)}
-		if _, err := tc.store.Commit(tc.ctx, fleet.Tx{Part: tc.name, Put: []fleet.Row{put}}); err != nil {
-			tc.t.Fatal(err)
-		}
+		tc.write(fleet.Row{Table: TableAccepted, Key: r.Key, Value: workload.Encode(a)})
 	}
 }
 
@@ -121,6 +118,29 @@
 	})
 }
 
+// TestAdoptedTermsAreStored: a task that lasts, of an earlier version, runs undisturbed while its queue is dropped. It guards
+// against terms that only the owner knows that took them from the configuration.
+func TestAdoptedTermsAreStored(t *testing.T) {
+	withCluster(t, 3, func(tc *testCluster) {
+		tc.workers.SetDuration(func(string) time.Duration { return time.Hour })
+		tc.waitForWorkers()
+		spec := jobWithSteps("00000000000000aa", "batch", 1)
+		spec.Steps[0].LongRunning = true
+		tc.submit(spec)
+		time.Sleep(time.Second)
+		tc.stopOwner()
+		tc.forgetTerms()
+		tc.takeOver()
+		time.Sleep(2 * time.Second)
+		tc.setConfig(tc.configWithout("batch"))
+		killOwner(tc)
+		time.Sleep(2 * time.Second)
+		tc.workers.Restart(tc.workers.WorkerOf(spec.ID + ".0.0.0"))
+		tc.awaitRuns(spec.ID, 0, 5*time.Second)
+		tc.awaitRuns(spec.ID, 1, 20*time.Second)
+	})
+}
+
 // TestTermsGoWithTheJob: a job of a dropped queue is moved or lent. It guards against a shard that judges or places it by the
 // configuration alone.
 func TestTermsGoWithTheJob(t *testing.T) {
